--- /dev/null
+++ b/src/admission.rs
@@ -0,0 +1,283 @@
+//! Admission and routing by the individually optimal index.
+//!
+//! For a pool with m slots, x tasks routed to it, rate μ for a task and deadline rate θ, the
+//! index ν is the probability that one more task would miss its deadline. With j = x − m + 1:
+//! ν = 1 − μ/(μ+θ)·(mμ/(mμ+θ))^max(j,0). The code keeps ln(1−ν): a huge queue rounds ν to 1,
+//! but not its logarithm, so that order and `ν < 1` survive.
+
+use crate::cell::Cell;
+use crate::jobs::{EPS, Spec};
+use crate::names::*;
+use std::collections::HashMap;
+
+/// ln(1−ν); minus infinity where ν is 1. The lowest ν has the highest value.
+pub fn ln_meet(m: f64, x: f64, mu: f64, theta: f64) -> f64 {
+    if mu <= 0.0 {
+        return f64::NEG_INFINITY;
+    }
+    let first = -(theta / mu).ln_1p();
+    let j = x - m + 1.0;
+    if j <= 0.0 {
+        first
+    } else if m <= 0.0 {
+        f64::NEG_INFINITY
+    } else {
+        first - j * (theta / (m * mu)).ln_1p()
+    }
+}
+
+/// ν itself, for display.
+pub fn nu(ln_meet: f64) -> f64 {
+    -ln_meet.exp_m1()
+}
+
+/// Is ν below the rejection cost R?
+pub fn admits(ln_meet: f64, rejection_cost: f64) -> bool {
+    if rejection_cost > 1.0 {
+        true
+    } else if rejection_cost == 1.0 {
+        ln_meet > f64::NEG_INFINITY
+    } else {
+        ln_meet > (-rejection_cost).ln_1p()
+    }
+}
+
+/// Mean run times of finished tasks, by pool and class. Only tasks that ended as `done` count, so
+/// a machine that fails its tasks fast does not look quick.
+#[derive(Debug)]
+pub struct Rates {
+    window: f64,
+    by_pool: Vec<HashMap<ClassId, (f64, f64)>>,
+    by_class: HashMap<ClassId, (f64, f64)>,
+}
+
+impl Rates {
+    pub fn new(pools: usize, window: f64) -> Rates {
+        Rates { window, by_pool: vec![HashMap::new(); pools], by_class: HashMap::new() }
+    }
+
+    pub fn finished(&mut self, pool: usize, class: ClassId, seconds: f64) {
+        let window = self.window;
+        let fold = |slot: &mut (f64, f64)| {
+            slot.0 = (slot.0 + 1.0).min(window);
+            slot.1 += (seconds - slot.1) / slot.0;
+        };
+        if let Some(p) = self.by_pool.get_mut(pool) {
+            fold(p.entry(class).or_default());
+        }
+        fold(self.by_class.entry(class).or_default());
+    }
+
+    /// Mean run time of the class in this pool, else anywhere, else the job's own estimate.
+    pub fn run_s(&self, pool: usize, class: ClassId, estimate: f64) -> f64 {
+        let pool = self.by_pool.get(pool).and_then(|p| p.get(&class));
+        let mean = pool.or_else(|| self.by_class.get(&class)).map(|(_, mean)| *mean);
+        let s = mean.unwrap_or(estimate);
+        if s > 0.0 { s.max(0.1) } else { 60.0 }
+    }
+}
+
+/// A pool as an arriving job sees it, in units of the job's task.
+#[derive(Debug, Clone, Copy)]
+pub struct PoolView {
+    pub pool: usize,
+    pub m: f64,
+    pub x: f64,
+    pub mu: f64,
+}
+
+/// Routes `n` tasks, each to the pool of the lowest index, raising its x. Long arrays go in at
+/// most `steps` equal steps. Returns how many each pool got and the best index met first.
+pub fn route(views: &mut [PoolView], theta: f64, n: u32, steps: u32) -> (Vec<u32>, f64) {
+    let mut got = vec![0; views.len()];
+    let value = |v: &PoolView| ln_meet(v.m, v.x, v.mu, theta);
+    let mut values: Vec<f64> = views.iter().map(value).collect();
+    let best = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    if views.is_empty() {
+        return (got, best);
+    }
+    let step = n.div_ceil(steps.max(1)).max(1);
+    let mut left = n;
+    while left > 0 {
+        let mut top = 0;
+        for (i, v) in values.iter().enumerate() {
+            if *v > values[top] {
+                top = i;
+            }
+        }
+        let take = step.min(left);
+        got[top] += take;
+        left -= take;
+        views[top].x += f64::from(take);
+        values[top] = value(&views[top]);
+    }
+    (got, best)
+}
+
+impl Cell {
+    /// The share of a machine of this type that one task takes.
+    pub fn share(&self, spec: &Spec, kind: TypeId) -> f64 {
+        let f = &self.flavors[kind.ix()];
+        let part = |a: f64, b: f64| if a <= 0.0 { 0.0 } else { a / b.max(1e-9) };
+        part(spec.cpus, f.cpus)
+            .max(part(spec.mem_gb, f.mem_gb))
+            .max(part(spec.cards, f.cards))
+            .max(1.0 / 256.0)
+    }
+
+    /// θ: one over the job's deadline span, its class's objective, or the default.
+    pub fn theta(&self, spec: &Spec) -> f64 {
+        let span = spec
+            .deadline_s
+            .or_else(|| self.settings.class_span(self.names.classes.name(spec.class.ix())))
+            .unwrap_or(self.settings.tuning.default_span_s);
+        1.0 / span.max(0.1)
+    }
+
+    /// Every pool that the job may use. Slots count machines that are up and sound, that boot,
+    /// and one that could be rented where the cloud has not just refused.
+    pub fn views(&self, spec: &Spec, now: u64) -> Vec<PoolView> {
+        let silence = self.silence();
+        let kinds = self.flavors.len();
+        let mut load = vec![0.0; self.pools()];
+        let mut machines = vec![0.0; self.pools()];
+        for m in self.machines.values() {
+            let p = self.pool(m.zone, m.kind);
+            if m.usable(now, silence) && (spec.spot || !m.spot) {
+                machines[p] += 1.0;
+            }
+            load[p] += (m.used_cpus / m.cpus).max(m.used_mem / m.mem_gb);
+        }
+        for b in self.fleet.booting.values() {
+            if spec.spot || !b.spot {
+                machines[self.pool(b.zone, b.kind)] += 1.0;
+            }
+        }
+        for (_, id) in &self.order {
+            let Some(job) = self.jobs.get(id) else { continue };
+            for (p, n) in job.routed.iter().enumerate() {
+                if *n > 0 {
+                    load[p] += f64::from(*n) * self.share(&job.spec, TypeId::from(p % kinds));
+                }
+            }
+        }
+        let mut out = Vec::new();
+        for kind in &spec.types {
+            let share = self.share(spec, *kind);
+            for zone in &self.flavors[kind.ix()].zones {
+                if spec.zone.is_some_and(|z| z != *zone) {
+                    continue;
+                }
+                let pool = self.pool(*zone, *kind);
+                let rentable = self.fleet.rentable(*kind, *zone, spec.spot, now);
+                let up = machines[pool] + if rentable { 1.0 } else { 0.0 };
+                let run = self.rates.run_s(pool, spec.class, spec.estimate_s);
+                out.push(PoolView {
+                    pool,
+                    m: up * (1.0 / share + EPS).floor(),
+                    x: load[pool] / share,
+                    mu: 1.0 / run,
+                });
+            }
+        }
+        out
+    }
+
+    /// Decides on an arriving job and routes its tasks; Err carries the lowest index.
+    pub fn admit(&self, spec: &Spec, now: u64) -> Result<Vec<u32>, f64> {
+        let mut views = self.views(spec, now);
+        let theta = self.theta(spec);
+        let steps = self.settings.tuning.route_chunk;
+        let (got, best) = route(&mut views, theta, spec.tasks, steps);
+        if spec.deadline_s.is_some() && !admits(best, self.settings.tuning.rejection_cost) {
+            return Err(nu(best));
+        }
+        let mut routed = vec![0; self.pools()];
+        for (v, n) in views.iter().zip(got) {
+            routed[v.pool] += n;
+        }
+        Ok(routed)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The miss probability by numerical integration, independent of the closed form: the wait
+    /// is Erlang(j, mμ), the run exponential, the deadline exponential. P(meet) is
+    /// E[e^(−θ·wait)]·E[e^(−θ·run)], each integrated by Simpson's rule.
+    fn by_integration(m: f64, x: f64, mu: f64, theta: f64) -> f64 {
+        let laplace = |density: &dyn Fn(f64) -> f64, end: f64| {
+            let n = 20_000;
+            let h = end / f64::from(n);
+            let f = |i: i32| density(f64::from(i) * h) * (-theta * f64::from(i) * h).exp();
+            let inner: f64 = (1..n).map(|i| f(i) * if i % 2 == 1 { 4.0 } else { 2.0 }).sum();
+            (f(0) + f(n) + inner) * h / 3.0
+        };
+        let run = laplace(&|t| mu * (-mu * t).exp(), 60.0 / mu);
+        let j = x - m + 1.0;
+        if j <= 0.0 {
+            return 1.0 - run;
+        }
+        let rate = m * mu;
+        let ln_fact: f64 = (1..j as u64).map(|i| (i as f64).ln()).sum();
+        let erlang = |t: f64| {
+            if t == 0.0 {
+                return if j == 1.0 { rate } else { 0.0 };
+            }
+            (j * rate.ln() + (j - 1.0) * t.ln() - rate * t - ln_fact).exp()
+        };
+        1.0 - run * laplace(&erlang, (j + 12.0 * j.sqrt() + 60.0) / rate)
+    }
+
+    #[test]
+    fn closed_form_agrees_with_integration() {
+        let cases = [
+            (1.0, 0.0, 0.05, 0.01),
+            (1.0, 5.0, 0.05, 0.01),
+            (4.0, 2.0, 0.05, 0.02),
+            (4.0, 4.0, 0.05, 0.02),
+            (32.0, 60.0, 0.05, 0.02),
+            (8.0, 20.0, 0.01, 1e-6),
+            (8.0, 20.0, 0.01, 0.5),
+        ];
+        for (m, x, mu, theta) in cases {
+            let closed = nu(ln_meet(m, x, mu, theta));
+            let other = by_integration(m, x, mu, theta);
+            assert!((closed - other).abs() < 1e-6, "m={m} x={x}: {closed} {other}");
+        }
+    }
+
+    #[test]
+    fn extremes_keep_their_order() {
+        // No slot at all: certain to miss.
+        assert_eq!(ln_meet(0.0, 0.0, 0.05, 0.01), f64::NEG_INFINITY);
+        // Where ν rounds to 1, the order and `ν < 1` must survive (huge arrays).
+        let (a, b) = (ln_meet(4.0, 90_000.0, 0.05, 0.02), ln_meet(4.0, 90_001.0, 0.05, 0.02));
+        assert!(nu(a) == 1.0 && a > b && b.is_finite());
+        assert!(admits(b, 1.0) && !admits(b, 0.999) && admits(b, 1.1));
+        assert!(!admits(f64::NEG_INFINITY, 1.0));
+        // Tiny θ: nothing is late. Huge θ: everything is.
+        assert!(nu(ln_meet(1.0, 100.0, 1.0, 1e-12)) < 1e-9);
+        assert!(nu(ln_meet(1.0, 0.0, 1.0, 1e12)) > 0.999_999);
+        assert!(!admits(ln_meet(1.0, 0.0, 1.0, 3.0), 0.5));
+    }
+
+    #[test]
+    fn failures_do_not_raise_the_rate_and_routing_fills_evenly() {
+        let mut rates = Rates::new(2, 10.0);
+        let class = ClassId(0);
+        assert_eq!(rates.run_s(0, class, 30.0), 30.0);
+        rates.finished(0, class, 10.0);
+        rates.finished(0, class, 20.0);
+        assert_eq!(rates.run_s(0, class, 30.0), 15.0);
+        assert_eq!(rates.run_s(1, class, 30.0), 15.0);
+        let view = |pool, m| PoolView { pool, m, x: 0.0, mu: 0.05 };
+        let (got, _) = route(&mut [view(0, 10.0), view(1, 30.0)], 0.02, 400, 1000);
+        assert_eq!(got.iter().sum::<u32>(), 400);
+        assert!((90..=110).contains(&got[0]), "{got:?}");
+        let (got, _) = route(&mut [view(0, 10.0), view(1, 30.0)], 0.02, 100_000, 1000);
+        assert!((24_000..=26_000).contains(&got[0]), "{got:?}");
+    }
+}
--- /dev/null
+++ b/src/cell.rs
@@ -0,0 +1,595 @@
+//! All that the leader knows while it leads: jobs, machines, which task may be where, and which
+//! records have yet to reach the state service. The slices act on it; nothing here waits.
+
+use crate::admission::Rates;
+use crate::fleet::{Flavor, Fleet};
+use crate::jobs::*;
+use crate::names::*;
+use crate::settings::Settings;
+use crate::store::*;
+use crate::workers::{Direct, Entry, Machine, Seen};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+/// Every name that the service has met.
+#[derive(Debug, Default)]
+pub struct Names {
+    pub teams: Interner<TeamId>,
+    pub zones: Interner<ZoneId>,
+    pub types: Interner<TypeId>,
+    pub classes: Interner<ClassId>,
+    pub images: Interner<ImageId>,
+}
+
+impl Names {
+    pub fn new(settings: &Settings) -> Names {
+        let mut names = Names::default();
+        for t in &settings.deployment.teams {
+            names.teams.intern(&t.name);
+        }
+        for z in &settings.deployment.zones {
+            names.zones.intern(z);
+        }
+        names
+    }
+}
+
+/// A key with something to record, in the order in which records are written: what users wait
+/// for first, what nobody waits for last.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    Job(JobId),
+    Rental(String),
+    Machine(MachineId),
+    Done(JobId, u32),
+    Drop(String),
+}
+
+/// What a team's tasks may be using: every task that may be on a machine counts.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Usage {
+    pub cpus: f64,
+    pub cards: f64,
+}
+
+/// One transaction about to be sent.
+#[derive(Debug)]
+pub struct Batch {
+    pub ver: u64,
+    pub keys: Vec<Key>,
+    pub when: Vec<Cond>,
+    pub apply: Vec<Change>,
+}
+
+pub struct Cell {
+    pub settings: Arc<Settings>,
+    pub term: u64,
+    /// Key and version of the leader record that every transaction is conditional on.
+    pub leader: Cond,
+    /// When this leader took over, by its steady clock in milliseconds.
+    pub taken: u64,
+    pub names: Names,
+    pub flavors: Vec<Flavor>,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub by_uid: HashMap<Arc<str>, JobId>,
+    /// Open jobs in order of arrival.
+    pub order: BTreeSet<(u64, JobId)>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub by_name: HashMap<String, MachineId>,
+    pub usage: Vec<Usage>,
+    pub finals: HashMap<Arc<str>, FinalRecord>,
+    final_order: VecDeque<Arc<str>>,
+    pub dirty: BTreeMap<Key, u64>,
+    saved: HashMap<Key, u64>,
+    pub stamps: HashMap<String, u64>,
+    ver: u64,
+    pub rates: Rates,
+    pub fleet: Fleet,
+    pub direct: Vec<Direct>,
+    next_id: usize,
+    next_try: u64,
+    /// Something changed that may let a task be placed.
+    pub stir: bool,
+}
+
+const FINALS_KEPT: usize = 3000;
+
+impl Cell {
+    pub fn new(
+        settings: Arc<Settings>,
+        term: u64,
+        leader: Cond,
+        now: u64,
+        mut names: Names,
+        flavors: Vec<Flavor>,
+    ) -> Cell {
+        for f in &flavors {
+            names.types.intern(&f.label);
+        }
+        let pools = names.zones.len() * flavors.len();
+        Cell {
+            usage: vec![Usage::default(); settings.deployment.teams.len()],
+            rates: Rates::new(pools, settings.tuning.rate_window),
+            fleet: Fleet::new(term),
+            settings,
+            term,
+            leader,
+            taken: now,
+            names,
+            flavors,
+            jobs: BTreeMap::new(),
+            by_uid: HashMap::new(),
+            order: BTreeSet::new(),
+            machines: BTreeMap::new(),
+            by_name: HashMap::new(),
+            finals: HashMap::new(),
+            final_order: VecDeque::new(),
+            dirty: BTreeMap::new(),
+            saved: HashMap::new(),
+            stamps: HashMap::new(),
+            ver: 0,
+            direct: Vec::new(),
+            next_id: 0,
+            next_try: 0,
+            stir: true,
+        }
+    }
+
+    pub fn pools(&self) -> usize {
+        self.names.zones.len() * self.flavors.len()
+    }
+
+    pub fn pool(&self, zone: ZoneId, kind: TypeId) -> usize {
+        zone.ix() * self.flavors.len() + kind.ix()
+    }
+
+    pub fn new_id(&mut self) -> usize {
+        self.next_id += 1;
+        self.next_id - 1
+    }
+
+    /// Attempt numbers hold the term above a counter, so that none is ever used again.
+    pub fn new_attempt(&mut self) -> u64 {
+        self.next_try += 1;
+        (self.term << 24) + self.next_try
+    }
+
+    /// Marks a key as having something to record; the returned version is safe once `is_saved`.
+    pub fn touch(&mut self, key: Key) -> u64 {
+        self.ver += 1;
+        self.dirty.insert(key, self.ver);
+        self.ver
+    }
+
+    pub fn is_saved(&self, key: &Key, ver: u64) -> bool {
+        self.saved.get(key).is_some_and(|v| *v >= ver)
+    }
+
+    /// A record read at the takeover is safe as it is.
+    pub fn mark_saved(&mut self, key: Key) {
+        self.saved.insert(key, self.ver);
+    }
+
+    // ---- jobs -------------------------------------------------------------------------------
+
+    pub fn job(&self, uid: &str) -> Option<(JobId, &Job)> {
+        let id = *self.by_uid.get(uid)?;
+        Some((id, self.jobs.get(&id)?))
+    }
+
+    /// Takes a job in; `done` and `cancelled` come from its records after a takeover.
+    pub fn insert_job(&mut self, spec: Spec, body: JobBody, at: u64) -> JobId {
+        let id = JobId::from(self.new_id());
+        let job =
+            Job::new(Arc::new(spec), Arc::new(body), at, self.names.zones.len(), self.pools());
+        self.by_uid.insert(job.spec.uid.clone(), id);
+        self.order.insert((at, id));
+        self.jobs.insert(id, job);
+        id
+    }
+
+    pub fn accepted(&self, id: JobId, job: &Job) -> bool {
+        self.is_saved(&Key::Job(id), job.accept_ver)
+    }
+
+    /// Cancels; no task of the job is started from here on, and all of them are stopped.
+    pub fn cancel(&mut self, id: JobId, now: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if !job.open() {
+            return;
+        }
+        let ver = self.touch(Key::Job(id));
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.cancel_ver = Some(ver);
+            job.waiting.clear();
+            let at = job.at;
+            self.order.remove(&(at, id));
+        }
+        self.stop_all(id, now, 0.0);
+        self.settle(id);
+    }
+
+    /// Marks a task done; its record follows.
+    pub fn task_done(&mut self, id: JobId, task: u32) {
+        let chunk = task / CHUNK;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.cancelled() || task >= job.spec.tasks || !job.done.insert(task) {
+            return;
+        }
+        job.waiting.remove(&task);
+        job.failures = 0;
+        let ver = self.touch(Key::Done(id, chunk));
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.unsaved.insert(task, ver);
+        }
+        self.settle(id);
+    }
+
+    pub fn done_saved(&self, id: JobId, task: u32) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return true };
+        job.done.contains(&task)
+            && (job
+                .unsaved
+                .get(&task)
+                .is_none_or(|v| self.is_saved(&Key::Done(id, task / CHUNK), *v))
+                || job.final_ver.is_some_and(|v| self.is_saved(&Key::Job(id), v)))
+    }
+
+    /// Makes a job final once nothing of it is open: all done, or cancelled with no task left
+    /// that may be on a machine (until then its record is what counts them after a takeover).
+    pub fn settle(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.final_ver.is_some() {
+            return;
+        }
+        let over = job.all_done() || (job.cancelled() && job.onto.is_empty());
+        if !over {
+            return;
+        }
+        let at = job.at;
+        let chunks = job.spec.tasks.div_ceil(CHUNK);
+        let ver = self.touch(Key::Job(id));
+        for chunk in 0..chunks {
+            self.dirty.remove(&Key::Done(id, chunk));
+        }
+        self.order.remove(&(at, id));
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.final_ver = Some(ver);
+            job.routed.iter_mut().for_each(|r| *r = 0);
+        }
+        self.stir = true;
+    }
+
+    pub fn remember_final(&mut self, uid: Arc<str>, record: FinalRecord) {
+        if self.finals.insert(uid.clone(), record).is_none() {
+            self.final_order.push_back(uid);
+        }
+        if self.final_order.len() > FINALS_KEPT
+            && let Some(old) = self.final_order.pop_front()
+        {
+            self.finals.remove(&old);
+        }
+    }
+
+    /// Forgets final jobs of which no task may be anywhere; what is over is in `finals`.
+    fn retire(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let over = job.final_ver.is_some_and(|v| self.is_saved(&Key::Job(id), v));
+        if !over || !job.onto.is_empty() {
+            return;
+        }
+        let uid = job.spec.uid.clone();
+        for chunk in 0..job.spec.tasks.div_ceil(CHUNK) {
+            let key = format!("d/{uid}/{chunk}");
+            if self.stamps.contains_key(&key) {
+                self.touch(Key::Drop(key));
+            }
+            self.saved.remove(&Key::Done(id, chunk));
+        }
+        self.by_uid.remove(&uid);
+        self.jobs.remove(&id);
+        self.saved.remove(&Key::Job(id));
+        self.stamps.remove(&format!("f/{uid}"));
+    }
+
+    pub fn show(&self, uid: &str) -> Option<Shown> {
+        if let Some((id, job)) = self.job(uid) {
+            if !self.accepted(id, job) {
+                return None;
+            }
+            let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
+            let status = if saved(job.cancel_ver) {
+                "aborted"
+            } else if job.all_done() && saved(job.final_ver) {
+                "done"
+            } else if job.running > 0 || job.all_done() {
+                "running"
+            } else {
+                "queued"
+            };
+            let why = (status == "queued" || !job.waiting.is_empty())
+                .then(|| job.wait.text().to_string())
+                .filter(|w| !w.is_empty() && job.open());
+            return Some(Shown {
+                uid: uid.into(),
+                status: status.into(),
+                done: job.done.len() as u64,
+                running: u64::from(job.running),
+                why,
+            });
+        }
+        self.finals.get(uid).map(|f| shown_final(uid, f))
+    }
+
+    // ---- which task may be where ------------------------------------------------------------
+
+    /// Puts a task on a machine's list. Nothing is sent before the list is recorded.
+    pub fn assign(&mut self, mid: MachineId, id: JobId, task: u32, attempt: u64, now: u64) {
+        let ver = self.touch(Key::Machine(mid));
+        self.attach(mid, id, task, Entry::new(attempt, ver, now));
+        if let Some(job) = self.jobs.get_mut(&id)
+            && let Some(m) = self.machines.get(&mid)
+        {
+            let pool = m.zone.ix() * self.flavors.len() + m.kind.ix();
+            let r = match job.routed.get(pool) {
+                Some(r) if *r > 0 => Some(pool),
+                _ => job.routed.iter().position(|r| *r > 0),
+            };
+            if let Some(r) = r {
+                job.routed[r] -= 1;
+            }
+        }
+    }
+
+    pub fn attach(&mut self, mid: MachineId, id: JobId, task: u32, entry: Entry) {
+        let (Some(m), Some(job)) = (self.machines.get_mut(&mid), self.jobs.get_mut(&id)) else {
+            return;
+        };
+        if m.entries.insert((id, task), entry).is_some() {
+            return;
+        }
+        m.add(&job.spec);
+        *job.onto.entry(task).or_insert(0) += 1;
+        job.in_zone[m.zone.ix()] += 1;
+        job.waiting.remove(&task);
+        let usage = &mut self.usage[job.spec.team.ix()];
+        usage.cpus += job.spec.cpus;
+        usage.cards += job.spec.cards;
+    }
+
+    /// Takes a task off a machine's list: it is proven not to be there.
+    pub fn detach(&mut self, mid: MachineId, id: JobId, task: u32) -> Option<Entry> {
+        let m = self.machines.get_mut(&mid)?;
+        let entry = m.entries.remove(&(id, task))?;
+        let (zone, empty) = (m.zone, m.entries.is_empty());
+        let job = self.jobs.get_mut(&id)?;
+        m.sub(&job.spec, empty);
+        job.in_zone[zone.ix()] = job.in_zone[zone.ix()].saturating_sub(1);
+        if entry.seen == Seen::Running {
+            job.running = job.running.saturating_sub(1);
+        }
+        let left = match job.onto.get_mut(&task) {
+            Some(n) if *n > 1 => {
+                *n -= 1;
+                *n
+            }
+            _ => {
+                job.onto.remove(&task);
+                0
+            }
+        };
+        if left == 0 && job.open() && !job.done.contains(&task) {
+            job.waiting.insert(task);
+            let pool = zone.ix() * self.flavors.len() + self.machines[&mid].kind.ix();
+            if let Some(r) = job.routed.get_mut(pool) {
+                *r += 1;
+            }
+        }
+        let spec = job.spec.clone();
+        let usage = &mut self.usage[spec.team.ix()];
+        usage.cpus = (usage.cpus - spec.cpus).max(0.0);
+        usage.cards = (usage.cards - spec.cards).max(0.0);
+        self.stir = true;
+        self.settle(id);
+        self.retire(id);
+        Some(entry)
+    }
+
+    // ---- records ----------------------------------------------------------------------------
+
+    fn render(&self, key: &Key) -> Vec<Change> {
+        let put = |put: String, v: Record| Change::Put { put, v, charter: None };
+        match key {
+            Key::Job(id) => {
+                let Some(job) = self.jobs.get(id) else { return vec![] };
+                let uid = &job.spec.uid;
+                if job.final_ver.is_some() {
+                    let record =
+                        FinalRecord { done: !job.cancelled(), tasks: job.done.len() as u32 };
+                    return vec![
+                        put(format!("f/{uid}"), Record::Final(record)),
+                        Change::Delete { delete: format!("j/{uid}") },
+                    ];
+                }
+                let record =
+                    JobRecord { job: (*job.body).clone(), at: job.at, cancelled: job.cancelled() };
+                vec![put(format!("j/{uid}"), Record::Job(Box::new(record)))]
+            }
+            Key::Done(id, chunk) => {
+                let Some(job) = self.jobs.get(id) else { return vec![] };
+                let from = chunk * CHUNK;
+                let r = to_ranges(job.done.range(from..from + CHUNK).copied());
+                vec![put(format!("d/{}/{chunk}", job.spec.uid), Record::Done(DoneRecord { r }))]
+            }
+            Key::Machine(mid) => match self.machines.get(mid) {
+                Some(m) => {
+                    vec![put(format!("m/{}", m.name), Record::Machine(self.machine_record(m)))]
+                }
+                None => vec![],
+            },
+            Key::Rental(name) => match self.fleet.record(name, &self.names) {
+                Some(record) => vec![put(format!("r/{name}"), Record::Rental(record))],
+                None => vec![],
+            },
+            Key::Drop(path) => vec![Change::Delete { delete: path.clone() }],
+        }
+    }
+
+    fn machine_record(&self, m: &Machine) -> MachineRecord {
+        let mut by_job: BTreeMap<(JobId, u64), Vec<u32>> = BTreeMap::new();
+        for ((id, task), e) in &m.entries {
+            by_job.entry((*id, e.attempt)).or_default().push(*task);
+        }
+        let on = by_job
+            .into_iter()
+            .filter_map(|((id, t), tasks)| {
+                let j = self.jobs.get(&id)?.spec.uid.to_string();
+                Some(OnRecord { j, t, r: to_ranges(tasks) })
+            })
+            .collect();
+        MachineRecord {
+            addr: m.addr.clone(),
+            berth: self.names.types.name(m.kind.ix()).into(),
+            yard: self.names.zones.name(m.zone.ix()).into(),
+            spot: m.spot,
+            shift: m.last.0,
+            on,
+        }
+    }
+
+    /// The next transaction: at most `ops` changes and 48 KiB, the most urgent keys first.
+    pub fn batch(&mut self, ops: usize) -> Option<Batch> {
+        let mut batch =
+            Batch { ver: self.ver, keys: vec![], when: vec![self.leader.clone()], apply: vec![] };
+        let mut size = 0;
+        let mut idle = vec![];
+        for key in self.dirty.keys() {
+            let changes = self.render(key);
+            if changes.is_empty() {
+                idle.push(key.clone());
+                continue;
+            }
+            // MessagePack is never longer than the JSON that the limit is measured in; a third
+            // more is allowed for that.
+            let bytes = crate::http::encode(&changes).len() * 4 / 3 + 64;
+            if batch.apply.len() + changes.len() > ops || size + bytes > 48 << 10 {
+                break;
+            }
+            size += bytes;
+            for change in &changes {
+                let path = change.path().to_string();
+                let stamp = self.stamps.get(&path).copied().unwrap_or(0);
+                batch.when.push(Cond { path, stamp });
+            }
+            batch.apply.extend(changes);
+            batch.keys.push(key.clone());
+        }
+        for key in idle {
+            self.dirty.remove(&key);
+        }
+        (!batch.keys.is_empty()).then_some(batch)
+    }
+
+    /// A transaction was applied at `rev`.
+    pub fn applied(&mut self, batch: &Batch, rev: u64) {
+        for change in &batch.apply {
+            match change {
+                Change::Put { put, .. } => self.stamps.insert(put.clone(), rev),
+                Change::Delete { delete } => self.stamps.remove(delete),
+            };
+        }
+        for key in &batch.keys {
+            if self.dirty.get(key).is_some_and(|v| *v <= batch.ver) {
+                self.dirty.remove(key);
+            }
+            if !matches!(key, Key::Drop(_)) {
+                self.saved.insert(key.clone(), batch.ver);
+            }
+            match key {
+                Key::Job(id) => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        if job.wait == Wait::Recording {
+                            job.wait = Wait::Nothing;
+                        }
+                        if job.final_ver.is_some_and(|v| v <= batch.ver) {
+                            job.unsaved.clear();
+                            let tasks = job.done.len() as u32;
+                            let record = FinalRecord { done: !job.cancelled(), tasks };
+                            let uid = job.spec.uid.clone();
+                            self.remember_final(uid, record);
+                        }
+                    }
+                    self.retire(*id);
+                    self.stir = true;
+                }
+                Key::Done(id, chunk) => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.unsaved.retain(|t, v| t / CHUNK != *chunk || *v > batch.ver);
+                    }
+                }
+                Key::Machine(mid) => {
+                    if !self.machines.contains_key(mid) {
+                        self.saved.remove(key);
+                    }
+                }
+                Key::Rental(_) | Key::Drop(_) => {}
+            }
+        }
+    }
+
+    /// The machine is gone for certain: so is all that was on it.
+    pub fn remove_machine(&mut self, mid: MachineId) {
+        let Some(m) = self.machines.get(&mid) else { return };
+        let name = m.name.clone();
+        let keys: Vec<(JobId, u32)> = m.entries.keys().copied().collect();
+        for (id, task) in keys {
+            self.detach(mid, id, task);
+            self.lost_task(id, task);
+        }
+        self.machines.remove(&mid);
+        self.by_name.remove(&name);
+        self.dirty.remove(&Key::Machine(mid));
+        self.saved.remove(&Key::Machine(mid));
+        let path = format!("m/{name}");
+        if self.stamps.contains_key(&path) {
+            self.touch(Key::Drop(path));
+        }
+        for job in self.jobs.values_mut() {
+            job.failed_on.remove(&mid);
+        }
+    }
+
+    /// Every list that must agree does; for tests.
+    #[cfg(test)]
+    pub fn check(&self) {
+        for (t, team) in self.settings.deployment.teams.iter().enumerate() {
+            let used: f64 = self
+                .machines
+                .values()
+                .flat_map(|m| m.entries.keys())
+                .filter_map(|(id, _)| self.jobs.get(id))
+                .filter(|j| j.spec.team.ix() == t)
+                .map(|j| j.spec.cpus)
+                .sum();
+            assert!((used - self.usage[t].cpus).abs() < 1e-6, "usage of {}", team.name);
+            assert!(used <= team.cpus_max + 1e-6, "limit of {}", team.name);
+        }
+        for job in self.jobs.values() {
+            let on: u32 = job.onto.values().sum();
+            assert_eq!(on, job.in_zone.iter().sum::<u32>());
+            for task in &job.waiting {
+                assert!(!job.done.contains(task) && !job.onto.contains_key(task));
+            }
+        }
+    }
+}
+
+pub fn shown_final(uid: &str, f: &FinalRecord) -> Shown {
+    Shown {
+        uid: uid.into(),
+        status: if f.done { "done" } else { "aborted" }.into(),
+        done: u64::from(f.tasks),
+        running: 0,
+        why: None,
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,600 @@
+//! The fleet: what to rent for the work that waits, what to give back, and the cloud's protocol.
+
+use crate::cell::{Cell, Key, Names};
+use crate::http::{CallError, Client};
+use crate::jobs::{EPS, Shape, Spec};
+use crate::names::*;
+use crate::node::Node;
+use crate::placement::Slot;
+use crate::store::RentalRecord;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Debug, Clone)]
+pub struct Flavor {
+    pub label: String,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub fetch_gb_per_s: f64,
+    pub hourly: f64,
+    pub spot_hourly: f64,
+    pub boot_s: f64,
+    pub zones: Vec<ZoneId>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct WireFlavor {
+    label: String,
+    cpus: f64,
+    #[serde(default)]
+    cards: f64,
+    mem_gb: f64,
+    #[serde(default)]
+    fetch_gb_per_s: f64,
+    hourly: f64,
+    #[serde(default)]
+    spot_price: f64,
+    startup_s: f64,
+    yards: Vec<String>,
+}
+
+impl Flavor {
+    pub fn from_wire(w: &WireFlavor, names: &mut Names) -> Flavor {
+        Flavor {
+            label: w.label.clone(),
+            cpus: w.cpus.max(0.0),
+            cards: w.cards.max(0.0),
+            mem_gb: w.mem_gb.max(0.0),
+            fetch_gb_per_s: w.fetch_gb_per_s.max(0.001),
+            hourly: w.hourly,
+            spot_hourly: w.spot_price,
+            boot_s: w.startup_s.clamp(0.0, 3600.0),
+            zones: w.yards.iter().map(|z| names.zones.intern(z)).collect(),
+        }
+    }
+
+    fn price(&self, spot: bool) -> f64 {
+        if spot { self.spot_hourly } else { self.hourly }
+    }
+}
+
+/// Type, zone, spot or not: what the cloud rents and refuses separately.
+pub type Kind = (TypeId, ZoneId, bool);
+
+#[derive(Debug, Clone)]
+pub struct Booting {
+    pub kind: TypeId,
+    pub zone: ZoneId,
+    pub spot: bool,
+    pub since: u64,
+    /// When a list last showed it.
+    listed: u64,
+    missed: u32,
+}
+
+#[derive(Debug, Clone)]
+pub struct Rental {
+    what: Kind,
+    number: u32,
+    ver: u64,
+    retry_at: u64,
+    resolved: bool,
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    term: u64,
+    counter: u64,
+    pub booting: BTreeMap<String, Booting>,
+    pub rentals: BTreeMap<String, Rental>,
+    /// After a refusal: until when, and how long the next pause is.
+    pauses: HashMap<Kind, (u64, u64)>,
+    /// Names to give back.
+    back: BTreeMap<String, &'static str>,
+    gone: HashSet<String>,
+}
+
+impl Fleet {
+    pub fn new(term: u64) -> Fleet {
+        Fleet {
+            term,
+            counter: 0,
+            booting: BTreeMap::new(),
+            rentals: BTreeMap::new(),
+            pauses: HashMap::new(),
+            back: BTreeMap::new(),
+            gone: HashSet::new(),
+        }
+    }
+
+    pub fn came_up(&mut self, name: &str) {
+        self.booting.remove(name);
+    }
+
+    fn paused(&self, what: &Kind, now: u64) -> bool {
+        self.pauses.get(what).is_some_and(|(until, _)| now < *until)
+    }
+
+    pub fn rentable(&self, kind: TypeId, zone: ZoneId, spot: bool, now: u64) -> bool {
+        !self.paused(&(kind, zone, false), now) || (spot && !self.paused(&(kind, zone, true), now))
+    }
+
+    pub fn record(&self, name: &str, names: &Names) -> Option<RentalRecord> {
+        let r = self.rentals.get(name)?;
+        Some(RentalRecord {
+            berth: names.types.name(r.what.0.ix()).into(),
+            yard: names.zones.name(r.what.1.ix()).into(),
+            spot: r.what.2,
+            number: r.number,
+        })
+    }
+
+    /// A rental that an earlier leader may have asked for: asked again under the same name, it
+    /// gets the same answer.
+    pub fn inherit(&mut self, name: &str, what: Kind, number: u32) {
+        let rental = Rental { what, number, ver: 0, retry_at: 0, resolved: false };
+        self.rentals.insert(name.into(), rental);
+    }
+
+    fn refused(&mut self, what: Kind, now: u64) {
+        let pause = self.pauses.get(&what).map_or(8_000, |(_, next)| *next);
+        self.pauses.insert(what, (now + pause, (pause * 2).min(45_000)));
+    }
+}
+
+impl Cell {
+    /// How many tasks of the job should run at once to be in time: all of them where a deadline
+    /// or guarantee presses, fewer where the class's objective leaves time for more than one
+    /// round.
+    fn wanted(&self, spec: &Spec, waiting: u32, guaranteed: bool) -> u32 {
+        if spec.shape != Shape::Array || guaranteed || spec.deadline_s.is_some() {
+            return waiting;
+        }
+        let class = self.names.classes.name(spec.class.ix());
+        let span = self
+            .settings
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| o.class.as_deref() == Some(class))
+            .filter_map(|o| o.within_s)
+            .fold(self.settings.tuning.default_span_s, f64::min);
+        let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
+        let rounds = (span * 0.5 / run).floor().clamp(1.0, 8.0);
+        (f64::from(waiting) / rounds).ceil() as u32
+    }
+
+    /// What to rent now: the work that waits is laid onto free and booting machines in the order
+    /// in which it is served; what finds no place is given the cheapest machines that fit it.
+    pub fn demand(&self, now: u64) -> Vec<(Kind, u32)> {
+        let mut slots: Vec<Slot> = self.slots(now);
+        for s in &mut slots {
+            // A machine held for a job gets free for it once the tasks there have stopped.
+            if s.reserved.is_some() {
+                let f = &self.flavors[s.kind.ix()];
+                (s.cpus, s.cards, s.mem_gb) = (f.cpus, f.cards, f.mem_gb);
+            }
+        }
+        let fresh = |(kind, zone, spot): Kind, mid: u32| {
+            let f = &self.flavors[kind.ix()];
+            Slot {
+                mid: MachineId(mid),
+                kind,
+                zone,
+                spot,
+                cpus: f.cpus,
+                cards: f.cards,
+                mem_gb: f.mem_gb,
+                images: vec![],
+                reserved: None,
+            }
+        };
+        for b in self.fleet.booting.values() {
+            slots.push(fresh((b.kind, b.zone, b.spot), u32::MAX));
+        }
+        for r in self.fleet.rentals.values().filter(|r| !r.resolved) {
+            for _ in 0..r.number {
+                slots.push(fresh(r.what, u32::MAX));
+            }
+        }
+        let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
+        let mut used = self.usage.clone();
+        for r in self.ranked() {
+            let Some(job) = self.jobs.get(&r.id) else { continue };
+            let spec = &job.spec;
+            if job.waiting.is_empty() || now < job.retry_at {
+                continue;
+            }
+            let team = &self.settings.deployment.teams[spec.team.ix()];
+            let room = |max: f64, used: f64, need: f64| {
+                if need <= 0.0 { 1e6 } else { ((max - used + EPS) / need).floor().max(0.0) }
+            };
+            let u = &mut used[spec.team.ix()];
+            let quota = room(team.cpus_max, u.cpus, spec.cpus).min(room(
+                team.gpus_max,
+                u.cards,
+                spec.cards,
+            )) as u32;
+            let waiting = job.waiting.len() as u32;
+            let mut n = self.wanted(spec, waiting, r.guaranteed).min(quota);
+            if spec.shape == Shape::Gang && n < waiting {
+                continue;
+            }
+            u.cpus += spec.cpus * f64::from(n);
+            u.cards += spec.cards * f64::from(n);
+            let tight = |s: &Slot| (s.cpus * 1000.0) as i64;
+            let mut order: Vec<usize> = (0..slots.len())
+                .filter(|i| slots[*i].reserved.is_none_or(|x| x == r.id))
+                .filter(|i| slots[*i].allowed(spec) && slots[*i].fits(spec) > 0)
+                .collect();
+            order.sort_by_key(|i| (slots[*i].reserved.is_none(), tight(&slots[*i])));
+            for i in order {
+                let k = slots[i].fits(spec).min(n);
+                slots[i].take(spec, k);
+                n -= k;
+                if n == 0 {
+                    break;
+                }
+            }
+            if n == 0 {
+                continue;
+            }
+            let mut best: Option<(f64, usize, Kind, u32, u32)> = None;
+            for kind in &spec.types {
+                let f = &self.flavors[kind.ix()];
+                for zone in &f.zones {
+                    if spec.zone.is_some_and(|z| z != *zone) {
+                        continue;
+                    }
+                    for spot in [true, false] {
+                        let what = (*kind, *zone, spot);
+                        if (spot && !spec.spot) || self.fleet.paused(&what, now) {
+                            continue;
+                        }
+                        let each = fresh(what, 0).fits(spec).max(1);
+                        let machines = n.div_ceil(each);
+                        let price = f64::from(machines) * f.price(spot).max(1e-6);
+                        let busy = out.get(&what).copied().unwrap_or(0) as usize;
+                        if best.is_none_or(|(p, b, ..)| (price, busy) < (p, b)) {
+                            best = Some((price, busy, what, machines, each));
+                        }
+                    }
+                }
+            }
+            if let Some((_, _, what, machines, each)) = best {
+                let machines = machines.min(50);
+                *out.entry(what).or_insert(0) += machines;
+                for _ in 0..machines {
+                    let mut s = fresh(what, u32::MAX);
+                    let k = each.min(n);
+                    s.take(spec, k);
+                    n -= k;
+                    slots.push(s);
+                }
+            }
+        }
+        out.into_iter().collect()
+    }
+
+    /// Plans rentals; each is recorded before it is asked for.
+    pub fn plan_rentals(&mut self, now: u64) {
+        if self.fleet.rentals.len() >= 8 {
+            return;
+        }
+        for (what, number) in self.demand(now) {
+            let busy = self.fleet.rentals.values().any(|r| r.what == what && !r.resolved);
+            if busy || self.fleet.rentals.len() >= 8 {
+                continue;
+            }
+            self.fleet.counter += 1;
+            let name = format!("r-{}-{}", self.fleet.term, self.fleet.counter);
+            let ver = self.touch(Key::Rental(name.clone()));
+            let number = number.min(50);
+            let rental = Rental { what, number, ver, retry_at: 0, resolved: false };
+            self.fleet.rentals.insert(name, rental);
+        }
+    }
+
+    /// A rental that may be asked for now.
+    pub fn due_rental(&self, now: u64) -> Option<(String, RentalRecord)> {
+        let (name, _) = self.fleet.rentals.iter().find(|(name, r)| {
+            let key = Key::Rental((*name).clone());
+            !r.resolved && now >= r.retry_at && (r.ver == 0 || self.is_saved(&key, r.ver))
+        })?;
+        Some((name.clone(), self.fleet.record(name, &self.names)?))
+    }
+
+    pub fn rented(&mut self, name: &str, hearths: Option<Vec<String>>, now: u64) {
+        let Some(r) = self.fleet.rentals.get_mut(name) else { return };
+        r.resolved = true;
+        let (what, number) = (r.what, r.number);
+        self.fleet.rentals.remove(name);
+        self.touch(Key::Drop(format!("r/{name}")));
+        let got = hearths.as_ref().map_or(0, Vec::len);
+        let (kind, zone) = (self.names.types.name(what.0.ix()), self.names.zones.name(what.1.ix()));
+        let spot = if what.2 { " spot" } else { "" };
+        tracing::info!("rent {name}: {got} of {number}{spot} {kind} in {zone} for waiting work");
+        if got < number as usize {
+            self.fleet.refused(what, now);
+        } else {
+            self.fleet.pauses.remove(&what);
+        }
+        for h in hearths.into_iter().flatten() {
+            if !self.by_name.contains_key(&h) && !self.fleet.gone.contains(&h) {
+                let (kind, zone, spot) = what;
+                let b = Booting { kind, zone, spot, since: now, listed: 0, missed: 0 };
+                self.fleet.booting.insert(h, b);
+            }
+        }
+        self.stir = true;
+    }
+
+    /// Takes a whole machine list in. It is late and may be older than the one before: nothing
+    /// is taken for gone on its word alone.
+    pub fn listed(&mut self, hosts: &[Host], now: u64) {
+        for h in hosts {
+            if h.status == "failed" {
+                self.fleet.back.insert(h.uid.clone(), "it has failed");
+                continue;
+            }
+            if self.by_name.contains_key(&h.uid) || self.fleet.gone.contains(&h.uid) {
+                continue;
+            }
+            let (Some(kind), Some(zone)) =
+                (self.names.types.get(&h.berth), self.names.zones.get(&h.yard))
+            else {
+                continue;
+            };
+            let held = (h.held_s.clamp(0.0, 1e6) * 1000.0) as u64;
+            let b = self.fleet.booting.entry(h.uid.clone()).or_insert_with(|| Booting {
+                kind,
+                zone,
+                spot: h.loaners,
+                since: now.saturating_sub(held),
+                listed: now,
+                missed: 0,
+            });
+            b.listed = now;
+            b.missed = 0;
+        }
+        let seen: HashSet<&str> = hosts.iter().map(|h| h.uid.as_str()).collect();
+        let lag = (self.settings.deployment.cloud.list_lag_s * 1000.0) as u64;
+        self.fleet.booting.retain(|name, b| {
+            if !seen.contains(name.as_str()) {
+                b.missed += 1;
+            }
+            b.missed < 4 || now < b.since.max(b.listed) + 4 * lag
+        });
+    }
+
+    /// What to give back: machines that never came up, that are faulty, about to be taken, past
+    /// their lease, or idle for longer than it would take to get them again.
+    pub fn plan_returns(&mut self, now: u64) {
+        for (name, b) in &self.fleet.booting {
+            let boot = self.flavors[b.kind.ix()].boot_s;
+            if now > b.since + (boot * 5000.0) as u64 + 20_000 {
+                self.fleet.back.insert(name.clone(), "it never came up");
+            }
+        }
+        let mut back = vec![];
+        for (mid, m) in &self.machines {
+            if self.lease_over(m, now) {
+                back.push((*mid, "its lease has run out"));
+            } else if !m.entries.is_empty() || !m.fenced || m.leaving {
+                continue;
+            } else if m.faulty {
+                back.push((*mid, "it fails its tasks"));
+            } else if m.recall_at.is_some() {
+                back.push((*mid, "the cloud takes it"));
+            } else {
+                let keep = self.settings.tuning.idle_boots * self.flavors[m.kind.ix()].boot_s;
+                let free = m.reserved.is_none_or(|(_, until)| now >= until);
+                if free && now > m.idle_since + (keep * 1000.0) as u64 {
+                    back.push((*mid, "it is idle"));
+                }
+            }
+        }
+        for (mid, why) in back {
+            if let Some(m) = self.machines.get_mut(&mid) {
+                m.leaving = true;
+                self.fleet.back.insert(m.name.clone(), why);
+            }
+        }
+    }
+
+    pub fn due_returns(&self) -> Vec<String> {
+        self.fleet.back.keys().take(100).cloned().collect()
+    }
+
+    /// The cloud has confirmed: these machines, and all that was on them, are gone.
+    pub fn returned(&mut self, names: &[String]) {
+        for name in names {
+            let why = self.fleet.back.remove(name).unwrap_or("");
+            tracing::info!("return {name}: {why}");
+            self.fleet.booting.remove(name);
+            if let Some(mid) = self.by_name.get(name).copied() {
+                self.remove_machine(mid);
+            }
+            if self.fleet.gone.len() > 5000 {
+                self.fleet.gone.clear();
+            }
+            self.fleet.gone.insert(name.clone());
+        }
+    }
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Host {
+    pub uid: String,
+    pub berth: String,
+    pub yard: String,
+    #[serde(default)]
+    pub loaners: bool,
+    pub status: String,
+    #[serde(default)]
+    pub held_s: f64,
+}
+
+/// The cloud by its protocol.
+pub struct Cloud {
+    http: Client,
+    addr: String,
+}
+
+const LIMIT: Duration = Duration::from_millis(3000);
+
+impl Cloud {
+    pub fn new(addr: String) -> Cloud {
+        Cloud { http: Client::new(2), addr }
+    }
+
+    pub async fn flavors(&self) -> Option<Vec<WireFlavor>> {
+        #[derive(Deserialize)]
+        struct Body {
+            berths: Vec<WireFlavor>,
+        }
+        let a = self.http.get(&self.addr, "/flavors", LIMIT).await.ok()?;
+        (a.status == 200).then(|| a.decode::<Body>())?.map(|b| b.berths)
+    }
+
+    /// Ok(Some): rented; Ok(None): refused for want of capacity; Err: ask again.
+    async fn rent(&self, name: &str, r: &RentalRecord) -> Result<Option<Vec<String>>, CallError> {
+        #[derive(Serialize)]
+        struct Ask<'a> {
+            hire: &'a str,
+            berth: &'a str,
+            yard: &'a str,
+            loaners: bool,
+            number: u32,
+        }
+        #[derive(Deserialize)]
+        struct Got {
+            hearths: Vec<String>,
+        }
+        let ask =
+            Ask { hire: name, berth: &r.berth, yard: &r.yard, loaners: r.spot, number: r.number };
+        let a = self.http.post(&self.addr, "/hosts", &ask, LIMIT).await?;
+        let lost = |why: &str| Err(CallError::Lost(why.into()));
+        match a.status {
+            200 => a.decode::<Got>().map_or_else(|| lost("malformed"), |g| Ok(Some(g.hearths))),
+            503 if String::from_utf8_lossy(&a.body).contains("no capacity") => Ok(None),
+            400 => {
+                tracing::error!("the cloud calls rental {name} malformed");
+                Ok(None)
+            }
+            s => lost(&format!("status {s}")),
+        }
+    }
+
+    async fn give_back(&self, names: &[String]) -> bool {
+        #[derive(Serialize)]
+        struct Ask<'a> {
+            hearths: &'a [String],
+        }
+        let a = self.http.post(&self.addr, "/hosts/return", &Ask { hearths: names }, LIMIT).await;
+        a.is_ok_and(|a| a.status == 200)
+    }
+
+    async fn list(&self) -> Option<Vec<Host>> {
+        #[derive(Deserialize)]
+        struct Page {
+            hearths: Vec<Host>,
+            #[serde(default)]
+            more: bool,
+        }
+        let mut out: Vec<Host> = vec![];
+        loop {
+            let since = out.last().map(|h| format!("since={}&", h.uid)).unwrap_or_default();
+            let path = format!("/hosts?{since}limit=500");
+            let a = self.http.get(&self.addr, &path, LIMIT).await.ok()?;
+            if a.status != 200 {
+                return None;
+            }
+            let page: Page = a.decode()?;
+            let end = !page.more || page.hearths.is_empty();
+            out.extend(page.hearths);
+            if end {
+                return Some(out);
+            }
+        }
+    }
+}
+
+/// The leader's dealings with the cloud: one call at a time, paced below its limit.
+pub async fn run(node: Arc<Node>, term: u64) {
+    let gap = Duration::from_secs_f64(1.25 / node.settings.deployment.cloud.rps);
+    let mut listed = 0u64;
+    loop {
+        tokio::time::sleep(gap).await;
+        let now = node.now();
+        let plan = node.with_cell(term, |c, lead| {
+            if lead {
+                c.plan_returns(now);
+                c.plan_rentals(now);
+            }
+            let rent = if lead { c.due_rental(now) } else { None };
+            (if lead { c.due_returns() } else { vec![] }, rent)
+        });
+        let Some((back, rent)) = plan else { return };
+        node.kick();
+        if !back.is_empty() {
+            if node.cloud.give_back(&back).await {
+                node.with_cell(term, |c, _| c.returned(&back));
+            }
+        } else if let Some((name, record)) = rent {
+            match node.cloud.rent(&name, &record).await {
+                Ok(hearths) => {
+                    let now = node.now();
+                    node.with_cell(term, |c, _| c.rented(&name, hearths, now));
+                }
+                Err(e) => {
+                    tracing::debug!("rental {name}: {e}");
+                    let now = node.now();
+                    node.with_cell(term, |c, _| {
+                        if let Some(r) = c.fleet.rentals.get_mut(&name) {
+                            r.retry_at = now + 1000;
+                        }
+                    });
+                }
+            }
+        } else if now > listed + 2500
+            && let Some(hosts) = node.cloud.list().await
+        {
+            listed = now;
+            let now = node.now();
+            node.with_cell(term, |c, _| c.listed(&hosts, now));
+        }
+        node.kick();
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub fn flavors(names: &mut Names) -> Vec<Flavor> {
+        let make = |label: &str, cpus: f64, hourly: f64| WireFlavor {
+            label: label.into(),
+            cpus,
+            cards: 0.0,
+            mem_gb: cpus * 4.0,
+            fetch_gb_per_s: 0.2,
+            hourly,
+            spot_price: hourly / 3.0,
+            startup_s: 20.0,
+            yards: vec!["north".into(), "south".into()],
+        };
+        [make("small", 4.0, 0.2), make("big", 32.0, 1.8)]
+            .iter()
+            .map(|w| {
+                names.types.intern(&w.label);
+                Flavor::from_wire(w, names)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/jobs.rs
@@ -0,0 +1,436 @@
+//! Jobs: what users send, whether it can ever run, and what the leader keeps of each.
+
+use crate::cell::Names;
+use crate::fleet::Flavor;
+use crate::names::*;
+use crate::settings::Settings;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// A job as it is submitted and recorded.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct JobBody {
+    pub uid: String,
+    pub lot: String,
+    pub owner: String,
+    pub shape: Shape,
+    pub precedence: Precedence,
+    pub parcels: u64,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub cargo: String,
+    pub pull_gb: f64,
+    #[serde(default)]
+    pub berths: Option<Vec<String>>,
+    #[serde(default)]
+    pub yard: Option<String>,
+    pub together: bool,
+    pub spread: bool,
+    pub loaners: bool,
+    pub expected_s: f64,
+    pub stamp_every_s: f64,
+    pub stamp_s: f64,
+    #[serde(default)]
+    pub due_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    #[serde(rename = "batch")]
+    Array,
+    #[serde(rename = "ensemble")]
+    Gang,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priorities, the highest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Precedence {
+    #[serde(rename = "prod")]
+    Production,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "best_effort")]
+    Low,
+}
+
+/// A job's shape and demands, names mapped to indices.
+#[derive(Debug, Clone)]
+pub struct Spec {
+    pub uid: Arc<str>,
+    pub class: ClassId,
+    pub team: TeamId,
+    pub shape: Shape,
+    pub precedence: Precedence,
+    pub tasks: u32,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub image: ImageId,
+    pub image_gb: f64,
+    /// Allowed machine types.
+    pub types: Vec<TypeId>,
+    pub zone: Option<ZoneId>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub estimate_s: f64,
+    pub checkpoint_s: f64,
+    pub save_s: f64,
+    pub deadline_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    #[error("malformed: {0}")]
+    Malformed(String),
+    #[error("can never run: {0}")]
+    Never(String),
+}
+
+/// Ids are `wk-` and digits; the digits bound keys at the state service.
+pub fn valid_uid(uid: &str) -> bool {
+    uid.strip_prefix("wk-")
+        .is_some_and(|d| (1..=20).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// The id alone, so that a known job is recognised whatever the rest of a repeat says.
+pub fn peek_uid(body: &[u8]) -> Option<String> {
+    #[derive(Deserialize)]
+    struct Id {
+        uid: String,
+    }
+    rmp_serde::from_slice::<Id>(body).ok().map(|i| i.uid).filter(|u| valid_uid(u))
+}
+
+const MOST_TASKS: u64 = 100_000;
+const LONG_TEXT: usize = 200;
+
+pub fn parse(body: &[u8]) -> Result<JobBody, Refusal> {
+    let bad = |why: &str| Err(Refusal::Malformed(why.to_string()));
+    // Structs also decode from MessagePack lists; the protocol wants a map.
+    if !matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf)) {
+        return bad("not a map");
+    }
+    let job: JobBody =
+        rmp_serde::from_slice(body).map_err(|e| Refusal::Malformed(e.to_string()))?;
+    if !valid_uid(&job.uid) {
+        return bad("uid");
+    }
+    for (name, text) in [("lot", &job.lot), ("owner", &job.owner), ("cargo", &job.cargo)] {
+        if text.is_empty() || text.len() > LONG_TEXT {
+            return bad(name);
+        }
+    }
+    if job.parcels == 0 || job.parcels > MOST_TASKS {
+        return bad("parcels");
+    }
+    let amounts = [
+        ("cpus", job.cpus),
+        ("cards", job.cards),
+        ("memGb", job.mem_gb),
+        ("pullGb", job.pull_gb),
+        ("expectedS", job.expected_s),
+        ("stampEveryS", job.stamp_every_s),
+        ("stampS", job.stamp_s),
+        ("dueS", job.due_s.unwrap_or(0.0)),
+    ];
+    for (name, v) in amounts {
+        if !v.is_finite() || v < 0.0 {
+            return bad(name);
+        }
+    }
+    if job.cpus == 0.0 && job.cards == 0.0 && job.mem_gb == 0.0 {
+        return bad("cpus");
+    }
+    Ok(job)
+}
+
+/// Maps names to indices and says what can never run.
+pub fn admit_shape(
+    job: &JobBody,
+    names: &mut Names,
+    flavors: &[Flavor],
+    settings: &Settings,
+) -> Result<Spec, Refusal> {
+    let never = |why: String| Err(Refusal::Never(why));
+    let Some(team) = names.teams.get(&job.owner) else {
+        return never(format!("unknown team {}", job.owner));
+    };
+    let zone = match &job.yard {
+        None => None,
+        Some(z) => match names.zones.get(z) {
+            Some(z) => Some(z),
+            None => return never(format!("unknown zone {z}")),
+        },
+    };
+    let types: Vec<TypeId> = flavors
+        .iter()
+        .enumerate()
+        .filter(|(_, f)| job.berths.as_ref().is_none_or(|b| b.contains(&f.label)))
+        .filter(|(_, f)| zone.is_none_or(|z| f.zones.contains(&z)))
+        .filter(|(_, f)| job.cpus <= f.cpus && job.cards <= f.cards && job.mem_gb <= f.mem_gb)
+        .map(|(i, _)| TypeId::from(i))
+        .collect();
+    if types.is_empty() {
+        return never("a task fits no allowed machine type".into());
+    }
+    let limit = &settings.deployment.teams[team.ix()];
+    let tasks = if job.shape == Shape::Array { 1.0 } else { job.parcels as f64 };
+    if job.cpus * tasks > limit.cpus_max + EPS || job.cards * tasks > limit.gpus_max + EPS {
+        return never(format!("needs more than the limit of {}", job.owner));
+    }
+    if job.together && job.spread && job.parcels > 1 && job.shape != Shape::Array {
+        return never("all tasks in one zone, yet at most half of them in one".into());
+    }
+    Ok(Spec {
+        uid: job.uid.as_str().into(),
+        class: names.classes.intern(&job.lot),
+        team,
+        shape: job.shape,
+        precedence: job.precedence,
+        tasks: job.parcels as u32,
+        cpus: job.cpus,
+        cards: job.cards,
+        mem_gb: job.mem_gb,
+        image: names.images.intern(&job.cargo),
+        image_gb: job.pull_gb,
+        types,
+        zone,
+        one_zone: job.together,
+        spread: job.spread,
+        spot: job.loaners,
+        estimate_s: job.expected_s,
+        checkpoint_s: job.stamp_every_s,
+        save_s: job.stamp_s,
+        deadline_s: job.due_s,
+    })
+}
+
+/// Room for rounding when amounts are added up.
+pub const EPS: f64 = 1e-6;
+/// Finished tasks are recorded in chunks of this many, so that a chunk fits into a value.
+pub const CHUNK: u32 = 1024;
+
+/// Why a job waits, in words for its team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Wait {
+    #[default]
+    Nothing,
+    Recording,
+    TeamLimit,
+    NoRoom,
+    Booting,
+    Image,
+    Absence,
+    Backoff,
+    Mates,
+    Stopping,
+}
+
+impl Wait {
+    pub fn text(self) -> &'static str {
+        match self {
+            Wait::Nothing => "",
+            Wait::Recording => "being recorded",
+            Wait::TeamLimit => "the team's limit is reached",
+            Wait::NoRoom => "no room on the machines it may use",
+            Wait::Booting => "waiting for a machine to boot",
+            Wait::Image => "waiting for its image",
+            Wait::Absence => "held until a machine that may still run it is heard of",
+            Wait::Backoff => "pausing after failures of its tasks",
+            Wait::Mates => "waiting until all its tasks are in place",
+            Wait::Stopping => "waiting until its stopped tasks have left their machines",
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub spec: Arc<Spec>,
+    pub body: Arc<JobBody>,
+    /// Time of day of acceptance, milliseconds; with the id, the order of arrival.
+    pub at: u64,
+    /// Version of the record that makes it accepted.
+    pub accept_ver: u64,
+    pub cancel_ver: Option<u64>,
+    /// Version of the record that makes it final.
+    pub final_ver: Option<u64>,
+    pub done: BTreeSet<u32>,
+    /// Finished tasks whose record is not safe yet, with the version that will make them so.
+    pub unsaved: HashMap<u32, u64>,
+    /// Tasks that are not done and on no machine.
+    pub waiting: BTreeSet<u32>,
+    /// On how many machines a task may be.
+    pub onto: BTreeMap<u32, u32>,
+    /// Machines (by zone) that tasks of this job may be on.
+    pub in_zone: Vec<u32>,
+    /// How many waiting tasks are routed to each pool.
+    pub routed: Vec<u32>,
+    pub running: u32,
+    /// A gang's current attempt, and whether it has started.
+    pub attempt: u64,
+    pub started: bool,
+    /// Machines on which tasks of it failed, and until when it pauses.
+    pub failed_on: HashMap<MachineId, u32>,
+    pub failures: u32,
+    pub retry_at: u64,
+    pub wait: Wait,
+    /// Since when it has waited for room, for preemption and reservations.
+    pub ready_at: u64,
+}
+
+impl Job {
+    pub fn new(spec: Arc<Spec>, body: Arc<JobBody>, at: u64, zones: usize, pools: usize) -> Job {
+        let waiting = (0..spec.tasks).collect();
+        Job {
+            spec,
+            body,
+            at,
+            accept_ver: 0,
+            cancel_ver: None,
+            final_ver: None,
+            done: BTreeSet::new(),
+            unsaved: HashMap::new(),
+            waiting,
+            onto: BTreeMap::new(),
+            in_zone: vec![0; zones],
+            routed: vec![0; pools],
+            running: 0,
+            attempt: 0,
+            started: false,
+            failed_on: HashMap::new(),
+            failures: 0,
+            retry_at: 0,
+            wait: Wait::Recording,
+            ready_at: 0,
+        }
+    }
+
+    pub fn cancelled(&self) -> bool {
+        self.cancel_ver.is_some()
+    }
+
+    pub fn all_done(&self) -> bool {
+        self.done.len() as u32 == self.spec.tasks
+    }
+
+    /// Open: neither cancelled nor done.
+    pub fn open(&self) -> bool {
+        !self.cancelled() && !self.all_done()
+    }
+
+    pub fn left(&self) -> u32 {
+        self.spec.tasks - self.done.len() as u32
+    }
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Shown {
+    pub uid: String,
+    pub status: String,
+    #[serde(default)]
+    pub done: u64,
+    #[serde(default)]
+    pub running: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+    use crate::http::encode;
+
+    pub fn body(uid: &str) -> JobBody {
+        JobBody {
+            uid: uid.into(),
+            lot: "steady".into(),
+            owner: "red".into(),
+            shape: Shape::Array,
+            precedence: Precedence::Low,
+            parcels: 3,
+            cpus: 1.0,
+            cards: 0.0,
+            mem_gb: 2.0,
+            cargo: "img".into(),
+            pull_gb: 1.0,
+            berths: None,
+            yard: None,
+            together: false,
+            spread: false,
+            loaners: true,
+            expected_s: 20.0,
+            stamp_every_s: 0.0,
+            stamp_s: 0.0,
+            due_s: Some(60.0),
+        }
+    }
+
+    type Edit = fn(&mut JobBody);
+
+    #[test]
+    fn malformed_submissions() {
+        let cases: [(&str, Edit); 10] = [
+            ("uid", |b| b.uid = "job-1".into()),
+            ("uid", |b| b.uid = "wk-1/2".into()),
+            ("uid", |b| b.uid = "wk-".into()),
+            ("parcels", |b| b.parcels = 0),
+            ("parcels", |b| b.parcels = 100_001),
+            ("cpus", |b| b.cpus = -1.0),
+            ("memGb", |b| b.mem_gb = f64::NAN),
+            ("pullGb", |b| b.pull_gb = f64::INFINITY),
+            ("dueS", |b| b.due_s = Some(-5.0)),
+            ("owner", |b| b.owner.clear()),
+        ];
+        for (field, edit) in cases {
+            let mut b = body("wk-1");
+            edit(&mut b);
+            let error = parse(&encode(&b)).expect_err(field).to_string();
+            assert!(error.contains(field), "{field}: {error}");
+        }
+        assert!(parse(&encode(&body("wk-1"))).is_ok());
+        assert!(parse(b"\x93\x01\x02\x03").is_err() && parse(b"").is_err());
+        assert!(parse(&encode(&"text")).is_err());
+        // A list in field order would decode as the struct, but the protocol wants a map.
+        assert!(parse(&rmp_serde::to_vec(&body("wk-1")).unwrap()).is_err());
+    }
+
+    #[test]
+    fn what_can_never_run() {
+        let settings = crate::settings::tests::sample();
+        let mut names = Names::new(&settings);
+        let flavors = crate::fleet::tests::flavors(&mut names);
+        let cases: [(Option<&str>, Edit); 9] = [
+            (None, |_| ()),
+            (Some("team"), |b| b.owner = "green".into()),
+            (Some("zone"), |b| b.yard = Some("west".into())),
+            (Some("type"), |b| b.cpus = 33.0),
+            (Some("type"), |b| b.berths = Some(vec![])),
+            (Some("limit"), |b| {
+                (b.owner, b.shape, b.cpus, b.parcels) = ("blue".into(), Shape::Gang, 12.0, 3)
+            }),
+            (None, |b| (b.owner, b.cpus, b.parcels) = ("blue".into(), 12.0, 3)),
+            (Some("one zone"), |b| (b.shape, b.together, b.spread) = (Shape::Gang, true, true)),
+            (None, |b| b.berths = Some(vec!["big".into(), "unheard".into()])),
+        ];
+        for (i, (expect, edit)) in cases.into_iter().enumerate() {
+            let mut b = body("wk-1");
+            edit(&mut b);
+            let got = admit_shape(&b, &mut names, &flavors, &settings);
+            match expect {
+                None => assert!(got.is_ok(), "case {i}: {got:?}"),
+                Some(word) => {
+                    let error = got.expect_err("refused").to_string();
+                    assert!(error.contains(word), "case {i}: {error}");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/leadership.rs
@@ -0,0 +1,381 @@
+//! Leadership: the term, the leader's lease, taking over, and the leader's loops.
+
+use crate::cell::{Cell, Key};
+use crate::fleet;
+use crate::jobs::{CHUNK, Wait, admit_shape};
+use crate::node::Node;
+use crate::store::*;
+use crate::workers::{Direct, Entry, Orders};
+use serde::de::IgnoredAny;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+pub const LEADER: &str = "c/leader";
+pub const TERM: &str = "c/term";
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Follows, stands for election when nobody leads, leads; for ever.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        if node.state.lock().expect("lock").flavors.is_none() {
+            match node.cloud.flavors().await {
+                Some(f) if !f.is_empty() => node.state.lock().expect("lock").flavors = Some(f),
+                _ => sleep(ms(500)).await,
+            }
+            continue;
+        }
+        match node.store.get::<LeaderRecord>(LEADER).await {
+            Ok(Some((record, _))) => {
+                let ix = node.cluster.members.iter().position(|m| *m == record.member);
+                node.heard_term(record.term, ix);
+                sleep(ms(350 + rand::random::<u64>() % 100)).await;
+            }
+            Ok(None) => {
+                if let Some((term, stamp, lease, sent)) = elect(&node).await {
+                    lead(&node, term, stamp, lease, sent).await;
+                }
+                sleep(ms(50 + rand::random::<u64>() % 150)).await;
+            }
+            Err(_) => sleep(ms(300)).await,
+        }
+    }
+}
+
+/// Raises the term and takes the leader key in one transaction. An unknown outcome is read back.
+async fn elect(node: &Node) -> Option<(u64, u64, u64, u64)> {
+    let ttl = node.settings.tuning.leader_lease_ms;
+    let (old, term_stamp) = match node.store.get::<TermRecord>(TERM).await.ok()? {
+        Some((t, stamp)) => (t.term, stamp),
+        None => (0, 0),
+    };
+    let sent = node.now();
+    let lease = node.store.lease(ttl).await.ok()?;
+    // A term seen anywhere is never given out again, whatever the store says.
+    let term = old.max(node.state.lock().expect("lock").top_term) + 1;
+    let record = LeaderRecord { member: node.settings.member.clone(), term, nonce: rand::random() };
+    let when =
+        [Cond { path: TERM.into(), stamp: term_stamp }, Cond { path: LEADER.into(), stamp: 0 }];
+    let apply = [
+        Change::Put { put: TERM.into(), v: Record::Term(TermRecord { term }), charter: None },
+        Change::Put { put: LEADER.into(), v: Record::Leader(record.clone()), charter: Some(lease) },
+    ];
+    match node.store.commit(&when, &apply).await {
+        Outcome::Applied(rev) => return Some((term, rev, lease, sent)),
+        Outcome::Unknown => {
+            if let Ok(Some((seen, stamp))) = node.store.get::<LeaderRecord>(LEADER).await
+                && seen == record
+            {
+                return Some((term, stamp, lease, sent));
+            }
+        }
+        _ => {}
+    }
+    // Without the lease a late put fails.
+    node.store.end_lease(lease).await;
+    None
+}
+
+async fn lead(node: &Arc<Node>, term: u64, stamp: u64, lease: u64, sent: u64) {
+    tracing::info!("leading: term {term} won, no leader was there");
+    node.heard_term(term, Some(node.cluster.me));
+    node.state.lock().expect("lock").renewed = sent;
+    let why = tokio::select! {
+        why = renew(node, term, lease) => why,
+        why = govern(node, term, stamp) => why,
+    };
+    {
+        let mut state = node.state.lock().expect("lock");
+        state.cell = None;
+        if state.leader.is_some_and(|(_, ix)| ix == node.cluster.me) {
+            state.leader = None;
+        }
+    }
+    node.bump();
+    tracing::info!("leading no more: term {term}, {why}");
+    node.store.end_lease(lease).await;
+}
+
+/// Renews the lease on a connection of its own; ends when the lease is lost, when holding on is
+/// no longer allowed, or when a newer term was seen.
+async fn renew(node: &Node, term: u64, lease: u64) -> &'static str {
+    let ttl = node.settings.tuning.leader_lease_ms;
+    let mut failing = false;
+    loop {
+        let sent = node.now();
+        match node.store.extend(lease, ms(ttl / 3)).await {
+            Ok(true) => {
+                node.state.lock().expect("lock").renewed = sent;
+                if failing {
+                    tracing::info!("the state service answers again, term {term} goes on");
+                }
+                failing = false;
+            }
+            Ok(false) => return "its lease has run out",
+            Err(e) => {
+                if !failing {
+                    tracing::warn!("renewing the lease of term {term}: {e}");
+                }
+                failing = true;
+            }
+        }
+        let (renewed, top) = {
+            let state = node.state.lock().expect("lock");
+            (state.renewed, state.top_term)
+        };
+        if top > term {
+            return "a newer term was seen";
+        }
+        if node.now() > renewed + node.settings.holding_ms() {
+            return "the state service was out of reach for too long";
+        }
+        sleep(ms(if failing { 150 } else { ttl / 4 })).await;
+    }
+}
+
+async fn govern(node: &Arc<Node>, term: u64, stamp: u64) -> &'static str {
+    loop {
+        match load(node, term, stamp).await {
+            Ok(()) => break,
+            Err(e) => {
+                tracing::warn!("reading the records: {e}");
+                sleep(ms(200)).await;
+            }
+        }
+    }
+    node.bump();
+    tokio::select! {
+        why = commits(node, term) => why,
+        _ = ticks(node, term) => "a newer term was seen",
+        _ = fleet::run(node.clone(), term) => "superseded",
+    }
+}
+
+/// Reads every record and puts the cell together. What machines may hold is a superset.
+async fn load(node: &Node, term: u64, stamp: u64) -> Result<(), StoreError> {
+    let jobs = node.store.list::<JobRecord>("j/").await?;
+    let done = node.store.list::<DoneRecord>("d/").await?;
+    let machines = node.store.list::<MachineRecord>("m/").await?;
+    let rentals = node.store.list::<RentalRecord>("r/").await?;
+    let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
+    let leader = Cond { path: LEADER.into(), stamp };
+    let now = node.now();
+    let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
+    rebuild(&mut cell, jobs, done, machines, rentals, now);
+    let (j, m) = (cell.jobs.len(), cell.machines.len());
+    tracing::info!("term {term} has {j} open jobs and {m} machines on record");
+    node.state.lock().expect("lock").cell = Some(cell);
+    Ok(())
+}
+
+type Rows<T> = Vec<(String, T, u64)>;
+
+pub fn rebuild(
+    cell: &mut Cell,
+    jobs: Rows<JobRecord>,
+    done: Rows<DoneRecord>,
+    machines: Rows<MachineRecord>,
+    rentals: Rows<RentalRecord>,
+    now: u64,
+) {
+    for (path, record, stamp) in jobs {
+        cell.stamps.insert(path, stamp);
+        let settings = cell.settings.clone();
+        let flavors = std::mem::take(&mut cell.flavors);
+        let spec = admit_shape(&record.job, &mut cell.names, &flavors, &settings);
+        cell.flavors = flavors;
+        let spec = match spec {
+            Ok(spec) => spec,
+            Err(e) => {
+                tracing::error!("job {} was accepted under other settings: {e}", record.job.uid);
+                continue;
+            }
+        };
+        let id = cell.insert_job(spec, record.job, record.at);
+        let at = record.at;
+        if let Some(job) = cell.jobs.get_mut(&id) {
+            job.wait = Wait::Nothing;
+            if record.cancelled {
+                job.cancel_ver = Some(0);
+                job.waiting.clear();
+                cell.order.remove(&(at, id));
+            }
+        }
+        cell.mark_saved(Key::Job(id));
+    }
+    for (path, record, stamp) in done {
+        let mut parts = path.split('/').skip(1);
+        let id = parts.next().and_then(|uid| cell.by_uid.get(uid).copied());
+        let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
+        cell.stamps.insert(path.clone(), stamp);
+        let (Some(id), Some(chunk)) = (id, chunk) else {
+            // Left over from a job that is final.
+            cell.touch(Key::Drop(path));
+            continue;
+        };
+        if let Some(job) = cell.jobs.get_mut(&id) {
+            let from = chunk.saturating_mul(CHUNK);
+            for task in from_ranges(&record.r) {
+                if task >= from && task - from < CHUNK && task < job.spec.tasks {
+                    job.done.insert(task);
+                    job.waiting.remove(&task);
+                }
+            }
+        }
+    }
+    for (path, r, stamp) in machines {
+        cell.stamps.insert(path.clone(), stamp);
+        let (Some(kind), Some(zone)) =
+            (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
+        else {
+            tracing::error!("machine record {path} names an unknown type or zone");
+            continue;
+        };
+        let name = path.trim_start_matches("m/").to_string();
+        let mid = cell.add_machine(&name, &r.addr, kind, zone, r.spot, now);
+        for on in &r.on {
+            // A job that is not open is final: what is done has exited, and a cancelled job only
+            // becomes final once none of its tasks can be on a machine.
+            let Some(id) = cell.by_uid.get(on.j.as_str()).copied() else { continue };
+            for task in from_ranges(&on.r) {
+                let job = &cell.jobs[&id];
+                if task < job.spec.tasks && !job.done.contains(&task) {
+                    let mut e = Entry::new(on.t, 0, now);
+                    e.inherited = true;
+                    cell.attach(mid, id, task, e);
+                    if let Some(job) = cell.jobs.get_mut(&id) {
+                        job.attempt = job.attempt.max(on.t);
+                    }
+                }
+            }
+        }
+        // Fences the old leader: a worker that has seen this term drops its responses.
+        cell.direct.push(Direct { addr: r.addr, shift: r.shift, orders: vec![] });
+    }
+    for (path, r, stamp) in rentals {
+        cell.stamps.insert(path.clone(), stamp);
+        let what = cell.names.types.get(&r.berth).zip(cell.names.zones.get(&r.yard));
+        if let Some((kind, zone)) = what {
+            let name = path.trim_start_matches("r/");
+            cell.fleet.inherit(name, (kind, zone, r.spot), r.number.clamp(1, 50));
+        }
+    }
+    let ids: Vec<_> = cell.jobs.keys().copied().collect();
+    for id in ids {
+        let Some(job) = cell.jobs.get(&id) else { continue };
+        if job.cancelled() {
+            cell.stop_all(id, now, 0.0);
+        } else if let Ok(routed) = cell.admit(&job.spec.clone(), now)
+            && let Some(job) = cell.jobs.get_mut(&id)
+        {
+            job.routed = routed;
+        }
+        cell.settle(id);
+    }
+}
+
+/// Group commit: one transaction at a time, one put for each dirty key, paced below the state
+/// service's limit. Ends when the leader key is another's.
+async fn commits(node: &Node, term: u64) -> &'static str {
+    let limits = &node.settings.deployment.state;
+    let rate = limits.write_rps * 0.8;
+    let most = (limits.write_rps * 0.5).max(2.0);
+    let (mut tokens, mut at) = (most, node.now());
+    loop {
+        let now = node.now();
+        tokens = (tokens + rate * (now - at) as f64 / 1000.0).min(most);
+        at = now;
+        if tokens < 2.0 {
+            sleep(ms(20)).await;
+            continue;
+        }
+        let ops = (tokens as usize).min(limits.txn_ops);
+        let Some(batch) = node.with_cell(term, |c, _| c.batch(ops)) else { return "superseded" };
+        let Some(batch) = batch else {
+            node.dirty.notified().await;
+            // What else the same moment changes comes along.
+            sleep(ms(3)).await;
+            continue;
+        };
+        tokens -= batch.apply.len() as f64;
+        match node.store.commit(&batch.when, &batch.apply).await {
+            Outcome::Applied(rev) => {
+                node.with_cell(term, |c, _| c.applied(&batch, rev));
+                node.bump();
+            }
+            Outcome::Conflict(keys) => {
+                if keys.iter().any(|k| k == LEADER) {
+                    return "the leader key is another's";
+                }
+                // An earlier transaction of unknown outcome was applied after all: take the
+                // versions as they are and write again.
+                for key in keys {
+                    if let Ok(seen) = node.store.get::<IgnoredAny>(&key).await {
+                        node.with_cell(term, |c, _| match seen {
+                            Some((_, stamp)) => c.stamps.insert(key.clone(), stamp),
+                            None => c.stamps.remove(&key),
+                        });
+                    }
+                }
+            }
+            Outcome::NoLease => return "its lease has run out",
+            Outcome::Refused => sleep(ms(150)).await,
+            Outcome::Unknown => sleep(ms(100)).await,
+        }
+    }
+}
+
+/// What time brings: leases that run out, pauses that end, orders to send.
+async fn ticks(node: &Arc<Node>, term: u64) {
+    let mut beat = 0u64;
+    loop {
+        let now = node.now();
+        beat += 1;
+        let direct = node.with_cell(term, |c, lead| {
+            c.expire(now);
+            if beat.is_multiple_of(5) {
+                c.stir = true;
+            }
+            if lead && c.stir {
+                c.place(now);
+            }
+            std::mem::take(&mut c.direct)
+        });
+        let Some(direct) = direct else { return };
+        for d in direct {
+            let node = node.clone();
+            tokio::spawn(async move { send(&node, term, d).await });
+        }
+        if node.state.lock().expect("lock").top_term > term {
+            return;
+        }
+        node.kick();
+        sleep(ms(100)).await;
+    }
+}
+
+/// Sends halts, or just the new term, straight to a worker. Its answer proves nothing; it only
+/// speeds up what the next report will show.
+async fn send(node: &Node, term: u64, mut d: Direct) {
+    #[derive(serde::Serialize)]
+    struct Body<'a> {
+        shift: u64,
+        #[serde(flatten)]
+        orders: &'a Orders,
+    }
+    let orders = Orders { warrant: term, orders: std::mem::take(&mut d.orders) };
+    let mut shift = d.shift;
+    for _ in 0..2 {
+        let body = Body { shift, orders: &orders };
+        let answer = node.workers.post(&d.addr, "/commands", &body, ms(2000)).await;
+        let Ok(answer) = answer else { return };
+        match (answer.status, answer.decode::<crate::workers::Report>()) {
+            (409, Some(r)) if r.warrant > term => return node.heard_term(r.warrant, None),
+            (409, Some(r)) if r.shift != shift => shift = r.shift,
+            _ => return,
+        }
+    }
+}
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,444 @@
+//! One controller: what it shares between its parts, and how it answers, as leader or for it.
+
+use crate::cell::{Cell, Names, shown_final};
+use crate::cluster::{Cluster, Op, PeerView};
+use crate::fleet::{Cloud, Flavor, WireFlavor};
+use crate::http::{Client, encode};
+use crate::jobs::{self, Refusal, Shown};
+use crate::settings::Settings;
+use crate::store::{FinalRecord, JobRecord, Store};
+use crate::workers::{Report, Taken};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout_at};
+
+/// An answer to a user or worker, wherever it came from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    pub retry_after: u16,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    pub fn new<T: serde::Serialize>(status: u16, value: &T) -> Reply {
+        Reply { status, retry_after: 0, body: encode(value) }
+    }
+
+    pub fn error(status: u16, why: &str) -> Reply {
+        let body = std::collections::BTreeMap::from([("error", why)]);
+        Reply { status, retry_after: 0, body: encode(&body) }
+    }
+
+    /// Nobody can answer truthfully now: come back in `s` seconds.
+    pub fn later(why: &str, s: u16) -> Reply {
+        Reply { retry_after: s, ..Reply::error(503, why) }
+    }
+}
+
+#[derive(Default)]
+pub struct State {
+    pub cell: Option<Cell>,
+    /// Send time of the last good renewal of the leader's lease.
+    pub renewed: u64,
+    /// Term and member of the last leader heard of.
+    pub leader: Option<(u64, usize)>,
+    /// The highest term seen anywhere.
+    pub top_term: u64,
+    pub flavors: Option<Vec<WireFlavor>>,
+    /// When this node could last reach a leader.
+    pub reached: u64,
+}
+
+pub struct Node {
+    pub settings: Arc<Settings>,
+    start: Instant,
+    pub cluster: Cluster,
+    pub store: Store,
+    pub cloud: Cloud,
+    pub workers: Client,
+    pub state: Mutex<State>,
+    /// Rises with every applied transaction and every change of the leader.
+    pub changed: watch::Sender<u64>,
+    pub dirty: Notify,
+}
+
+const USER_LIMIT: Duration = Duration::from_millis(2500);
+const FORWARD: Duration = Duration::from_millis(1500);
+const REPORT_LIMIT: Duration = Duration::from_millis(1500);
+
+impl Node {
+    pub fn new(settings: Settings) -> Node {
+        Node {
+            cluster: Cluster::new(&settings),
+            store: Store::new(settings.endpoints.state.clone()),
+            cloud: Cloud::new(settings.endpoints.cloud.clone()),
+            workers: Client::new(1),
+            settings: Arc::new(settings),
+            start: Instant::now(),
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+            dirty: Notify::new(),
+        }
+    }
+
+    /// Milliseconds on the steady clock; never 0.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64 + 1000
+    }
+
+    pub fn wall_ms() -> u64 {
+        std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis() as u64)
+    }
+
+    fn authority(&self, state: &State, now: u64) -> bool {
+        state.cell.as_ref().is_some_and(|c| c.term >= state.top_term)
+            && now < state.renewed + self.settings.tuning.leader_lease_ms
+    }
+
+    fn holding(&self, state: &State, now: u64) -> bool {
+        state.cell.as_ref().is_some_and(|c| c.term >= state.top_term)
+            && now < state.renewed + self.settings.holding_ms()
+    }
+
+    /// Runs `f` on the cell of this term; the flag says whether the leader is in authority.
+    pub fn with_cell<T>(&self, term: u64, f: impl FnOnce(&mut Cell, bool) -> T) -> Option<T> {
+        let now = self.now();
+        let mut state = self.state.lock().expect("lock");
+        let lead = self.authority(&state, now);
+        let cell = state.cell.as_mut().filter(|c| c.term == term)?;
+        Some(f(cell, lead))
+    }
+
+    pub fn kick(&self) {
+        self.dirty.notify_one();
+    }
+
+    pub fn bump(&self) {
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Term and whether this node leads (or holds), for its peers.
+    pub fn standing(&self) -> (u64, bool) {
+        let now = self.now();
+        let state = self.state.lock().expect("lock");
+        match &state.cell {
+            Some(c) if self.holding(&state, now) => (c.term, true),
+            _ => (state.top_term, false),
+        }
+    }
+
+    pub fn heard_peer(&self, ix: usize, view: PeerView) {
+        self.heard_term(view.term, view.leads.then_some(ix));
+    }
+
+    pub fn heard_term(&self, term: u64, leader: Option<usize>) {
+        let mut state = self.state.lock().expect("lock");
+        if term > state.top_term {
+            state.top_term = term;
+        }
+        if let Some(ix) = leader
+            && state.leader.is_none_or(|(t, _)| term >= t)
+        {
+            state.leader = Some((term, ix));
+        }
+    }
+
+    /// Can requests be taken: is a leader within reach, or was one until a moment ago?
+    pub fn up(&self) -> bool {
+        let now = self.now();
+        let mut state = self.state.lock().expect("lock");
+        let reach = if state.cell.is_some() {
+            self.authority(&state, now)
+        } else {
+            state
+                .leader
+                .is_some_and(|(_, ix)| ix != self.cluster.me && self.cluster.can_reach(ix, now))
+        };
+        if reach {
+            state.reached = now;
+        }
+        state.reached > 0 && now < state.reached + 6000
+    }
+
+    fn leader(&self) -> Option<usize> {
+        self.state.lock().expect("lock").leader.map(|(_, ix)| ix)
+    }
+
+    fn leading(&self, report: bool) -> bool {
+        let now = self.now();
+        let state = self.state.lock().expect("lock");
+        if report { self.holding(&state, now) } else { self.authority(&state, now) }
+    }
+
+    /// Answers a request from this node's own door.
+    pub async fn ask(&self, op: Op, body: &[u8]) -> Reply {
+        self.serve(op, body, 2).await
+    }
+
+    /// Answers as leader, or passes the request on while it may be (`hops`).
+    pub async fn serve(&self, op: Op, body: &[u8], hops: u8) -> Reply {
+        if self.leading(op == Op::Report) {
+            return match op {
+                Op::Submit => self.submit(body).await,
+                Op::Show => self.show(body).await,
+                Op::Cancel => self.cancel(body).await,
+                Op::Report => self.report(body).await,
+            };
+        }
+        let limit = if op == Op::Show { Duration::from_millis(800) } else { FORWARD };
+        let limit = if op == Op::Report { Duration::from_millis(3000) } else { limit };
+        if hops > 0
+            && let Some(leader) = self.leader().filter(|l| *l != self.cluster.me)
+            && let Some(reply) = self.cluster.forward(leader, self.now(), op, body, limit).await
+            && (reply.status != 503 || op != Op::Show)
+        {
+            return reply;
+        }
+        if op == Op::Show && hops == 2 {
+            return self.show_from_store(body).await;
+        }
+        Reply::later("no leader within reach", 1)
+    }
+
+    /// Waits until `f` yields something of the cell of this term, or the limit.
+    async fn until<T>(
+        &self,
+        term: u64,
+        limit: Duration,
+        mut f: impl FnMut(&mut Cell, bool) -> Option<T>,
+    ) -> Option<T> {
+        let end = Instant::now() + limit;
+        let mut changed = self.changed.subscribe();
+        loop {
+            if let Some(v) = self.with_cell(term, &mut f)? {
+                return Some(v);
+            }
+            self.kick();
+            match timeout_at(end, changed.changed()).await {
+                Ok(Ok(())) => {}
+                _ => return None,
+            }
+        }
+    }
+
+    fn term(&self) -> Option<u64> {
+        self.state.lock().expect("lock").cell.as_ref().map(|c| c.term)
+    }
+
+    /// What is known of a job in memory.
+    fn known(&self, term: u64, uid: &str) -> Option<Option<Shown>> {
+        self.with_cell(term, |c, _| {
+            if c.by_uid.contains_key(uid) || c.finals.contains_key(uid) {
+                Some(c.show(uid))
+            } else {
+                None
+            }
+        })
+        .flatten()
+    }
+
+    /// Looks an id up that is not in memory: final jobs leave it. Err: no answer.
+    async fn past(&self, term: u64, uid: &str) -> Result<Option<FinalRecord>, ()> {
+        match self.store.get::<FinalRecord>(&format!("f/{uid}")).await {
+            Ok(Some((record, _))) => {
+                self.with_cell(term, |c, _| c.remember_final(uid.into(), record.clone()));
+                Ok(Some(record))
+            }
+            Ok(None) => Ok(None),
+            Err(_) => Err(()),
+        }
+    }
+
+    async fn submit(&self, body: &[u8]) -> Reply {
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        if let Some(uid) = jobs::peek_uid(body) {
+            if self.known(term, &uid).is_some() {
+                return self.accepted(term, &uid, 200).await;
+            }
+            match self.past(term, &uid).await {
+                Ok(Some(f)) => return Reply::new(200, &shown_final(&uid, &f)),
+                Ok(None) => {}
+                Err(()) => return Reply::later("the state service does not answer", 1),
+            }
+            // Taken in meanwhile?
+            if self.known(term, &uid).is_some() {
+                return self.accepted(term, &uid, 200).await;
+            }
+        }
+        let job = match jobs::parse(body) {
+            Ok(job) => job,
+            Err(e) => return Reply::error(400, &e.to_string()),
+        };
+        let uid = job.uid.clone();
+        let now = self.now();
+        let taken = self.with_cell(term, |c, lead| {
+            if !lead {
+                return Err(Reply::later("not in authority", 1));
+            }
+            let settings = c.settings.clone();
+            let flavors = std::mem::take(&mut c.flavors);
+            let spec = jobs::admit_shape(&job, &mut c.names, &flavors, &settings);
+            c.flavors = flavors;
+            let spec = match spec {
+                Ok(spec) => spec,
+                Err(e @ Refusal::Never(_)) => return Err(Reply::error(422, &e.to_string())),
+                Err(e) => return Err(Reply::error(400, &e.to_string())),
+            };
+            let routed = match c.admit(&spec, now) {
+                Ok(routed) => routed,
+                Err(nu) => {
+                    tracing::info!("refuse {uid}: lowest index {nu:.6} reaches the rejection cost");
+                    let reply = Reply::error(429, "its deadline cannot be met now");
+                    return Err(Reply { retry_after: 10, ..reply });
+                }
+            };
+            let id = c.insert_job(spec, job, Self::wall_ms());
+            let ver = c.touch(crate::cell::Key::Job(id));
+            if let Some(j) = c.jobs.get_mut(&id) {
+                j.routed = routed;
+                j.accept_ver = ver;
+            }
+            Ok(())
+        });
+        match taken {
+            Some(Ok(())) => self.accepted(term, &uid, 201).await,
+            Some(Err(reply)) => reply,
+            None => Reply::later("the leader has changed", 1),
+        }
+    }
+
+    /// Answers once the job's record is safe.
+    async fn accepted(&self, term: u64, uid: &str, status: u16) -> Reply {
+        match self.until(term, USER_LIMIT, |c, lead| c.show(uid).filter(|_| lead)).await {
+            Some(shown) => Reply::new(status, &shown),
+            None => Reply::later("not recorded in time", 1),
+        }
+    }
+
+    async fn show(&self, body: &[u8]) -> Reply {
+        let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
+        if !jobs::valid_uid(uid) {
+            return Reply::error(404, "unknown job");
+        }
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        if let Some(known) = self.known(term, uid) {
+            return match known {
+                Some(shown) => Reply::new(200, &shown),
+                None => Reply::later("being recorded", 1),
+            };
+        }
+        match self.past(term, uid).await {
+            Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
+            // Whatever was accepted and is not over is in the memory of a leader in authority.
+            Ok(None) if self.leading(false) && self.known(term, uid).is_none() => {
+                Reply::error(404, "unknown job")
+            }
+            _ => Reply::later("no certain answer", 1),
+        }
+    }
+
+    /// Without a leader the state service itself is asked: it is never older than an answer.
+    async fn show_from_store(&self, body: &[u8]) -> Reply {
+        let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
+        if !jobs::valid_uid(uid) {
+            return Reply::error(404, "unknown job");
+        }
+        let later = Reply::later("no leader within reach", 1);
+        // The open record is read first: a job moves from there to the final ones, never back.
+        let open = match self.store.get::<JobRecord>(&format!("j/{uid}")).await {
+            Ok(open) => open,
+            Err(_) => return later,
+        };
+        match (self.store.get::<FinalRecord>(&format!("f/{uid}")).await, open) {
+            (Ok(Some((f, _))), _) => Reply::new(200, &shown_final(uid, &f)),
+            (Ok(None), Some((record, _))) => {
+                let status = if record.cancelled { "aborted" } else { "queued" }.to_string();
+                let why = Some("waiting for a leader".to_string());
+                Reply::new(200, &Shown { uid: uid.into(), status, done: 0, running: 0, why })
+            }
+            (Ok(None), None) => Reply::error(404, "unknown job"),
+            (Err(_), _) => later,
+        }
+    }
+
+    async fn cancel(&self, body: &[u8]) -> Reply {
+        let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
+        if !jobs::valid_uid(uid) {
+            return Reply::error(404, "unknown job");
+        }
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        if self.known(term, uid).is_none() {
+            return self.show(body).await;
+        }
+        let now = self.now();
+        let done = self.with_cell(term, |c, lead| {
+            if lead && let Some(id) = c.by_uid.get(uid).copied() {
+                c.cancel(id, now);
+            }
+            lead
+        });
+        if done != Some(true) {
+            return Reply::later("not in authority", 1);
+        }
+        self.kick();
+        let over = |s: &Shown| s.status == "aborted" || s.status == "done";
+        let shown = self.until(term, USER_LIMIT, |c, lead| c.show(uid).filter(|s| lead && over(s)));
+        match shown.await {
+            Some(shown) => Reply::new(200, &shown),
+            None => Reply::later("not recorded in time", 1),
+        }
+    }
+
+    async fn report(&self, body: &[u8]) -> Reply {
+        let Ok(report) = rmp_serde::from_slice::<Report>(body) else {
+            return Reply::error(400, "malformed report");
+        };
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        let now = self.now();
+        let taken = self.with_cell(term, |c, lead| {
+            let taken = c.on_report(&report, now);
+            if lead && c.stir {
+                c.place(now);
+            }
+            taken
+        });
+        let mid = match taken {
+            Some(Taken::Answer(mid)) => mid,
+            Some(Taken::NewerTerm(t)) => {
+                self.heard_term(t, None);
+                self.bump();
+                return Reply::later("a newer leader has been", 1);
+            }
+            Some(Taken::Malformed(why)) => {
+                tracing::warn!("report of {}: {why}", report.hearth);
+                return Reply::error(400, why);
+            }
+            Some(Taken::Stale) => return Reply::later("an older report", 1),
+            None => return Reply::later("no leader", 1),
+        };
+        let ready = |c: &mut Cell, lead: bool| (!lead || c.orders_ready(mid)).then_some(());
+        self.until(term, REPORT_LIMIT, ready).await;
+        if !self.leading(true) {
+            return Reply::later("no leader", 1);
+        }
+        let now = self.now();
+        let at = (report.shift, report.tally);
+        match self.with_cell(term, |c, lead| c.orders(mid, at, now, lead)).flatten() {
+            Some(orders) => Reply::new(200, &orders),
+            None => Reply::later("a newer report has come in", 1),
+        }
+    }
+
+    /// Names and machine types for a new leader's cell.
+    pub fn known_flavors(&self) -> Option<(Names, Vec<Flavor>)> {
+        let state = self.state.lock().expect("lock");
+        let wire = state.flavors.as_ref()?;
+        let mut names = Names::new(&self.settings);
+        let flavors = wire.iter().map(|w| Flavor::from_wire(w, &mut names)).collect();
+        Some((names, flavors))
+    }
+}
--- /dev/null
+++ b/src/placement.rs
@@ -0,0 +1,549 @@
+//! Placement: in which order jobs are served, which machine a task gets, room kept for gangs,
+//! and who has to make room for whom.
+
+use crate::cell::Cell;
+use crate::jobs::{EPS, Precedence, Shape, Spec, Wait};
+use crate::names::*;
+use crate::workers::Seen;
+use std::collections::{BTreeMap, HashMap};
+
+/// A machine with what is free on it.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub mid: MachineId,
+    pub kind: TypeId,
+    pub zone: ZoneId,
+    pub spot: bool,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub images: Vec<ImageId>,
+    pub reserved: Option<JobId>,
+}
+
+impl Slot {
+    /// How many tasks of this shape fit.
+    pub fn fits(&self, spec: &Spec) -> u32 {
+        let part = |free: f64, need: f64| {
+            if need <= 0.0 { 256.0 } else { ((free + EPS) / need).floor().clamp(0.0, 256.0) }
+        };
+        part(self.cpus, spec.cpus)
+            .min(part(self.mem_gb, spec.mem_gb))
+            .min(part(self.cards, spec.cards)) as u32
+    }
+
+    pub fn take(&mut self, spec: &Spec, n: u32) {
+        let n = f64::from(n);
+        self.cpus -= spec.cpus * n;
+        self.cards -= spec.cards * n;
+        self.mem_gb -= spec.mem_gb * n;
+    }
+
+    pub fn allowed(&self, spec: &Spec) -> bool {
+        (spec.spot || !self.spot)
+            && spec.types.contains(&self.kind)
+            && spec.zone.is_none_or(|z| z == self.zone)
+    }
+}
+
+/// A job in the order in which it is served.
+#[derive(Debug, Clone, Copy)]
+pub struct Ranked {
+    pub id: JobId,
+    /// Within its team's guarantee, together with the team's earlier unfinished jobs.
+    pub guaranteed: bool,
+}
+
+/// What is lost, how many tasks then fit, and who has to go.
+type Victims = (f64, u32, Vec<(JobId, u32)>);
+
+const RESERVE_MS: u64 = 30_000;
+
+impl Cell {
+    /// Open jobs: those within their team's guarantee first, then by precedence, then first come.
+    pub fn ranked(&self) -> Vec<Ranked> {
+        let mut used = vec![(0.0, 0.0); self.usage.len()];
+        let mut out: Vec<(bool, Precedence, u64, JobId)> = Vec::new();
+        for (at, id) in &self.order {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let team = &self.settings.deployment.teams[job.spec.team.ix()];
+            let sum = &mut used[job.spec.team.ix()];
+            sum.0 += job.spec.cpus * f64::from(job.left());
+            sum.1 += job.spec.cards * f64::from(job.left());
+            let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
+            out.push((!within, job.spec.precedence, *at, *id));
+        }
+        out.sort_unstable();
+        out.into_iter().map(|(g, _, _, id)| Ranked { id, guaranteed: !g }).collect()
+    }
+
+    pub fn slots(&self, now: u64) -> Vec<Slot> {
+        let silence = self.silence();
+        self.machines
+            .iter()
+            .filter(|(_, m)| m.usable(now, silence))
+            .map(|(mid, m)| Slot {
+                mid: *mid,
+                kind: m.kind,
+                zone: m.zone,
+                spot: m.spot,
+                cpus: m.cpus - m.used_cpus,
+                cards: m.cards - m.used_cards,
+                mem_gb: m.mem_gb - m.used_mem,
+                images: m.images.clone(),
+                reserved: m.reserved.filter(|(_, until)| now < *until).map(|(id, _)| id),
+            })
+            .collect()
+    }
+
+    /// How many more tasks of this shape the team's limit allows.
+    pub fn team_room(&self, spec: &Spec) -> u32 {
+        let team = &self.settings.deployment.teams[spec.team.ix()];
+        let used = self.usage[spec.team.ix()];
+        let part = |max: f64, used: f64, need: f64| {
+            if need <= 0.0 { 1e6 } else { ((max - used + EPS) / need).floor().clamp(0.0, 1e6) }
+        };
+        part(team.cpus_max, used.cpus, spec.cpus).min(part(team.gpus_max, used.cards, spec.cards))
+            as u32
+    }
+
+    /// How many more tasks of the job a zone may hold.
+    fn zone_room(&self, id: JobId, zone: ZoneId) -> u32 {
+        let Some(job) = self.jobs.get(&id) else { return 0 };
+        let mut room = u32::MAX;
+        if job.spec.one_zone {
+            let elsewhere = job.in_zone.iter().enumerate().any(|(z, n)| z != zone.ix() && *n > 0);
+            if elsewhere {
+                return 0;
+            }
+        }
+        if job.spec.spread {
+            let half = job.spec.tasks.div_ceil(2);
+            room = room.min(half.saturating_sub(job.in_zone[zone.ix()]));
+        }
+        room
+    }
+
+    /// One pass: every waiting task that can be placed is put on a machine's list.
+    pub fn place(&mut self, now: u64) {
+        self.stir = false;
+        let ranked = self.ranked();
+        let mut slots = self.slots(now);
+        let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
+        for r in &ranked {
+            let Some(job) = self.jobs.get(&r.id) else { continue };
+            if job.waiting.is_empty() {
+                if job.running == 0 && !job.onto.is_empty() {
+                    self.note_wait(r.id);
+                }
+                continue;
+            }
+            if !self.is_saved(&crate::cell::Key::Job(r.id), job.accept_ver) {
+                continue;
+            }
+            if now < job.retry_at {
+                continue;
+            }
+            let spec = job.spec.clone();
+            let wait = match spec.shape {
+                Shape::Gang => self.place_gang(r.id, &spec, &mut slots, now),
+                _ => self.place_single(r.id, &spec, &mut slots, now),
+            };
+            let Some(job) = self.jobs.get_mut(&r.id) else { continue };
+            job.wait = wait;
+            if wait == Wait::NoRoom {
+                if job.ready_at == 0 {
+                    job.ready_at = now;
+                }
+                if self.make_room(*r, &spec, &mut slots, &within, now)
+                    && let Some(job) = self.jobs.get_mut(&r.id)
+                {
+                    job.wait = Wait::Stopping;
+                }
+            } else if let Some(job) = self.jobs.get_mut(&r.id) {
+                job.ready_at = 0;
+            }
+        }
+    }
+
+    /// Why a job whose tasks are all on machines still doesn't run.
+    fn note_wait(&mut self, id: JobId) {
+        let mut wait = Wait::Image;
+        for m in self.machines.values() {
+            for (_, e) in m.entries.range((id, 0)..=(id, u32::MAX)) {
+                match e.seen {
+                    _ if e.stop.is_some() => wait = Wait::Stopping,
+                    Seen::Not if e.inherited => wait = Wait::Absence,
+                    Seen::Waiting if wait == Wait::Image => wait = Wait::Mates,
+                    _ => {}
+                }
+            }
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.wait = wait;
+        }
+    }
+
+    /// The machines a job may use now, the best first: where the index routed its tasks, with its
+    /// image, spot if it may (that leaves ordinary machines to those who must have them), and
+    /// the fullest, so that whole machines stay free for gangs.
+    fn candidates(&self, id: JobId, spec: &Spec, slots: &[Slot]) -> Vec<usize> {
+        let Some(job) = self.jobs.get(&id) else { return vec![] };
+        let sound = self.machines.len() > job.failed_on.len();
+        let mut out: Vec<(bool, bool, bool, i64, usize)> = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| s.allowed(spec) && s.reserved.is_none_or(|r| r == id))
+            .filter(|(_, s)| !(sound && job.failed_on.contains_key(&s.mid)))
+            .filter(|(_, s)| s.fits(spec) > 0)
+            .map(|(i, s)| {
+                let pool = self.pool(s.zone, s.kind);
+                let routed = job.routed.get(pool).is_some_and(|r| *r > 0);
+                let image = s.images.contains(&spec.image);
+                (!image, !routed, !(s.spot && spec.spot), (s.cpus * 1000.0) as i64, i)
+            })
+            .collect();
+        out.sort_unstable();
+        out.into_iter().map(|(.., i)| i).collect()
+    }
+
+    fn place_single(&mut self, id: JobId, spec: &Spec, slots: &mut [Slot], now: u64) -> Wait {
+        let mut order = self.candidates(id, spec, slots);
+        if spec.shape == Shape::Service {
+            // Replicas go where the job has fewest.
+            let job = &self.jobs[&id];
+            order.sort_by_key(|i| job.in_zone[slots[*i].zone.ix()]);
+        }
+        let mut placed = false;
+        for i in order {
+            loop {
+                let left = self.jobs.get(&id).map_or(0, |j| j.waiting.len() as u32);
+                if left == 0 {
+                    return Wait::Image;
+                }
+                let quota = self.team_room(spec);
+                if quota == 0 {
+                    return Wait::TeamLimit;
+                }
+                let most = if spec.shape == Shape::Service { 1 } else { u32::MAX };
+                let n = slots[i]
+                    .fits(spec)
+                    .min(left)
+                    .min(quota)
+                    .min(self.zone_room(id, slots[i].zone))
+                    .min(most);
+                if n == 0 {
+                    break;
+                }
+                let tasks: Vec<u32> =
+                    self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+                for task in tasks {
+                    let attempt = self.new_attempt();
+                    self.assign(slots[i].mid, id, task, attempt, now);
+                }
+                slots[i].take(spec, n);
+                placed = true;
+                if spec.shape == Shape::Service {
+                    break;
+                }
+            }
+        }
+        if self.jobs.get(&id).is_none_or(|j| j.waiting.is_empty()) {
+            return Wait::Image;
+        }
+        if self.team_room(spec) == 0 {
+            return Wait::TeamLimit;
+        }
+        if placed {
+            self.stir = spec.shape == Shape::Service;
+        }
+        Wait::NoRoom
+    }
+
+    fn place_gang(&mut self, id: JobId, spec: &Spec, slots: &mut [Slot], now: u64) -> Wait {
+        let job = &self.jobs[&id];
+        if !job.onto.is_empty() {
+            // A replacement joins the attempt only while the others still wait for it.
+            let places: Vec<_> = self
+                .machines
+                .values()
+                .flat_map(|m| m.entries.range((id, 0)..=(id, u32::MAX)).map(|(_, e)| e))
+                .collect();
+            if job.started || places.iter().any(|e| e.stop.is_some()) {
+                return Wait::Stopping;
+            }
+            if places.iter().any(|e| e.inherited) {
+                return Wait::Absence;
+            }
+        }
+        let need = job.waiting.len() as u32;
+        if self.team_room(spec) < need {
+            return Wait::TeamLimit;
+        }
+        let order = self.candidates(id, spec, slots);
+        let Some(plan) = self.gang_plan(id, spec, slots, &order, need) else {
+            return Wait::NoRoom;
+        };
+        let attempt = match self.jobs[&id].attempt {
+            a if a > 0 && !self.jobs[&id].onto.is_empty() => a,
+            _ => self.new_attempt(),
+        };
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.attempt = attempt;
+        }
+        for (i, n) in plan {
+            let tasks: Vec<u32> = self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+            let mid = slots[i].mid;
+            for task in tasks {
+                self.assign(mid, id, task, attempt, now);
+            }
+            slots[i].take(spec, n);
+            if let Some(m) = self.machines.get_mut(&mid)
+                && m.reserved.is_some_and(|(r, _)| r == id)
+            {
+                m.reserved = None;
+                slots[i].reserved = None;
+            }
+        }
+        for m in self.machines.values_mut() {
+            if m.reserved.is_some_and(|(r, _)| r == id) {
+                m.reserved = None;
+            }
+        }
+        Wait::Image
+    }
+
+    /// Where all `need` tasks fit at once: one pool if any has the room, else (unless the job
+    /// wants one zone) wherever there is room.
+    fn gang_plan(
+        &self,
+        id: JobId,
+        spec: &Spec,
+        slots: &[Slot],
+        order: &[usize],
+        need: u32,
+    ) -> Option<Vec<(usize, u32)>> {
+        let mut groups: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let mut zones: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let mut first: Vec<usize> = vec![];
+        for i in order {
+            let pool = self.pool(slots[*i].zone, slots[*i].kind);
+            if !groups.contains_key(&pool) {
+                first.push(pool);
+            }
+            groups.entry(pool).or_default().push(*i);
+            zones.entry(slots[*i].zone.ix()).or_default().push(*i);
+        }
+        let mut tries: Vec<&[usize]> = first.iter().map(|p| groups[p].as_slice()).collect();
+        tries.extend(zones.values().map(|v| v.as_slice()));
+        if !spec.one_zone {
+            tries.push(order);
+        }
+        for try_order in tries {
+            let mut left = need;
+            let mut plan = vec![];
+            let mut by_zone: HashMap<ZoneId, u32> = HashMap::new();
+            for i in try_order {
+                let zone = slots[*i].zone;
+                let used = by_zone.entry(zone).or_insert(0);
+                let n = slots[*i]
+                    .fits(spec)
+                    .min(left)
+                    .min(self.zone_room(id, zone).saturating_sub(*used));
+                if n > 0 {
+                    plan.push((*i, n));
+                    *used += n;
+                    left -= n;
+                }
+                if left == 0 {
+                    return Some(plan);
+                }
+            }
+        }
+        None
+    }
+
+    /// Stops tasks to make room: those of lower priority; and, for a job within its team's
+    /// guarantee, what another team runs beyond its own. The machine is kept for the job until
+    /// they have left. Returns whether the job now waits for tasks that are being stopped.
+    fn make_room(
+        &mut self,
+        r: Ranked,
+        spec: &Spec,
+        slots: &mut [Slot],
+        within: &HashMap<JobId, bool>,
+        now: u64,
+    ) -> bool {
+        if spec.shape == Shape::Array && !self.array_may_preempt(r, now) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&r.id) else { return false };
+        let quota = self.team_room(spec);
+        let mut need = (job.waiting.len() as u32).min(quota);
+        if spec.shape == Shape::Array {
+            need = need.min(32);
+        }
+        let held: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.reserved.is_some_and(|(id, until)| id == r.id && now < until))
+            .map(|(mid, _)| *mid)
+            .collect();
+        // What the machines already held for it will give once they are free.
+        for mid in &held {
+            let m = &self.machines[mid];
+            let mut free = Slot {
+                mid: *mid,
+                kind: m.kind,
+                zone: m.zone,
+                spot: m.spot,
+                cpus: m.cpus - m.used_cpus,
+                cards: m.cards - m.used_cards,
+                mem_gb: m.mem_gb - m.used_mem,
+                images: vec![],
+                reserved: None,
+            };
+            for ((v, _), e) in &m.entries {
+                if let (Some(v), Some(_)) = (self.jobs.get(v), e.stop) {
+                    free.cpus += v.spec.cpus;
+                    free.cards += v.spec.cards;
+                    free.mem_gb += v.spec.mem_gb;
+                }
+            }
+            need = need.saturating_sub(free.fits(spec));
+        }
+        if need == 0 {
+            return !held.is_empty();
+        }
+        let mut plans = Vec::new();
+        for (i, s) in slots.iter().enumerate() {
+            let taken = s.reserved.is_some() || held.contains(&s.mid);
+            let barred = job.failed_on.contains_key(&s.mid) || self.zone_room(r.id, s.zone) == 0;
+            if taken || barred || !s.allowed(spec) {
+                continue;
+            }
+            if let Some((cost, n, victims)) = self.victims(r, spec, s, within, need, now) {
+                let image = if s.images.contains(&spec.image) { 0.0 } else { spec.image_gb * 50.0 };
+                plans.push(((cost + image) / f64::from(n), i, n, victims));
+            }
+        }
+        plans.sort_by(|a, b| a.0.total_cmp(&b.0));
+        if spec.one_zone {
+            let zone = plans.first().map(|p| slots[p.1].zone);
+            plans.retain(|p| Some(slots[p.1].zone) == zone);
+        }
+        let total: u32 = plans.iter().map(|p| p.2).sum();
+        if spec.shape == Shape::Gang && total < need {
+            return !held.is_empty();
+        }
+        let mut any = !held.is_empty();
+        for (_, i, n, victims) in plans {
+            if need == 0 {
+                break;
+            }
+            need = need.saturating_sub(n);
+            any = true;
+            let mid = slots[i].mid;
+            slots[i].reserved = Some(r.id);
+            if let Some(m) = self.machines.get_mut(&mid) {
+                m.reserved = Some((r.id, now + RESERVE_MS));
+                let (name, count) = (m.name.clone(), victims.len());
+                if count > 0 {
+                    tracing::info!("preempt {count} tasks on {name} for {}", spec.uid);
+                }
+            }
+            for (vid, task) in victims {
+                let Some(v) = self.jobs.get(&vid) else { continue };
+                let grace = if v.spec.checkpoint_s > 0.0 { v.spec.save_s + 1.0 } else { 0.0 };
+                if v.spec.shape == Shape::Gang {
+                    self.stop_all(vid, now, grace);
+                } else {
+                    self.stop_task(mid, vid, task, now, grace);
+                }
+            }
+        }
+        any
+    }
+
+    /// An array within its guarantee may preempt once it has waited a third of what the
+    /// guarantee's objective allows.
+    fn array_may_preempt(&self, r: Ranked, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&r.id) else { return false };
+        let span = self
+            .settings
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .filter_map(|o| o.within_s)
+            .fold(60.0, f64::min);
+        r.guaranteed && job.ready_at > 0 && now > job.ready_at + (span * 333.0) as u64
+    }
+
+    /// The cheapest tasks to stop on one machine so that tasks of `spec` fit there; cost counts
+    /// the work lost, in CPU seconds.
+    fn victims(
+        &self,
+        r: Ranked,
+        spec: &Spec,
+        slot: &Slot,
+        within: &HashMap<JobId, bool>,
+        need: u32,
+        now: u64,
+    ) -> Option<Victims> {
+        let m = self.machines.get(&slot.mid)?;
+        let mut free = slot.clone();
+        let mut list: Vec<(f64, JobId, u32)> = Vec::new();
+        for ((id, task), e) in &m.entries {
+            let v = self.jobs.get(id)?;
+            if e.stop.is_some() {
+                free.take_back(&v.spec);
+                continue;
+            }
+            let lower = v.spec.precedence > spec.precedence;
+            let beyond = r.guaranteed
+                && v.spec.team != spec.team
+                && !within.get(id).copied().unwrap_or(true)
+                && v.spec.precedence >= spec.precedence;
+            if !(lower || beyond) {
+                continue;
+            }
+            let ran = if e.seen == Seen::Running {
+                now.saturating_sub(e.running_at.max(self.taken)) as f64 / 1000.0
+            } else {
+                0.0
+            };
+            let lost = if v.spec.checkpoint_s > 0.0 { ran.min(v.spec.save_s) } else { ran };
+            let gang = if v.spec.shape == Shape::Gang { f64::from(v.spec.tasks) } else { 1.0 };
+            list.push(((lost + 1.0) * v.spec.cpus * gang, *id, *task));
+        }
+        list.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut cost, mut victims) = (0.0, vec![]);
+        let mut best: Option<(f64, u32, usize)> = None;
+        let mut step = |free: &Slot, cost: f64, count: usize| {
+            let n = free.fits(spec).min(need);
+            if n > 0 && best.is_none_or(|(c, b, _)| cost / f64::from(n) < c / f64::from(b)) {
+                best = Some((cost, n, count));
+            }
+        };
+        step(&free, 0.0, 0);
+        for (c, id, task) in list {
+            let Some(v) = self.jobs.get(&id) else { continue };
+            free.take_back(&v.spec);
+            cost += c;
+            victims.push((id, task));
+            step(&free, cost, victims.len());
+        }
+        let (cost, n, count) = best?;
+        victims.truncate(count);
+        Some((cost, n, victims))
+    }
+}
+
+impl Slot {
+    fn take_back(&mut self, spec: &Spec) {
+        self.cpus += spec.cpus;
+        self.cards += spec.cards;
+        self.mem_gb += spec.mem_gb;
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,348 @@
+//! The platform's settings file (TOML, unknown fields ignored) and the operators' own (YAML,
+//! optional, unknown keys refused). Everything the scheduler decides derives from these.
+
+use serde::Deserialize;
+use std::path::Path;
+
+/// Why the settings were refused; the text names the field.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("cannot read {0}: {1}")]
+    Read(String, std::io::Error),
+    #[error("{0}: {1}")]
+    Toml(String, toml::de::Error),
+    #[error("{0}: {1}")]
+    Yaml(String, serde_norway::Error),
+    #[error("setting `{0}`: {1}")]
+    Invalid(&'static str, String),
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Settings {
+    pub member: String,
+    pub zone: String,
+    pub front: String,
+    pub cluster_listen: String,
+    #[serde(default)]
+    pub members: Vec<Member>,
+    pub endpoints: Endpoints,
+    pub deployment: Deployment,
+    #[serde(skip)]
+    pub tuning: Tuning,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Member {
+    pub member: String,
+    #[serde(default)]
+    pub zone: String,
+    pub endpoint: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: String,
+    pub state: String,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Deployment {
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub clock_off_ms: f64,
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub limits: Limits,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default, rename = "class")]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Limits {
+    #[serde(default = "one")]
+    pub cpu_share: f64,
+    #[serde(default = "much")]
+    pub mem_mb: f64,
+    pub max_connections: usize,
+}
+
+fn one() -> f64 {
+    1.0
+}
+fn much() -> f64 {
+    1024.0
+}
+
+/// The operators' own settings, with their documented defaults.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Tuning {
+    /// R of the admission rule: a deadline job is admitted while its lowest index is below it.
+    pub rejection_cost: f64,
+    /// How many finished tasks the mean run time of a pool and class looks back on.
+    pub rate_window: f64,
+    /// Deadline span assumed for jobs that have none and whose class has no objective, seconds.
+    pub default_span_s: f64,
+    /// The leader's lease at the state service, milliseconds.
+    pub leader_lease_ms: u64,
+    /// An idle machine is kept for this many boot times of its type.
+    pub idle_boots: f64,
+    /// Tasks of one array routed before other work gets its turn.
+    pub route_chunk: u32,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            rejection_cost: 1.0,
+            rate_window: 200.0,
+            default_span_s: 600.0,
+            leader_lease_ms: 2500,
+            idle_boots: 2.5,
+            route_chunk: 1000,
+        }
+    }
+}
+
+/// Reads and checks both files.
+pub fn load(path: &Path, tuning: Option<&Path>) -> Result<Settings, SettingsError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+    let mut settings: Settings = toml::from_str(&text).map_err(|e| SettingsError::Toml(name, e))?;
+    if let Some(path) = tuning {
+        let name = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|e| SettingsError::Read(name.clone(), e))?;
+        settings.tuning = parse_tuning(&text).map_err(|e| SettingsError::Yaml(name, e))?;
+    }
+    settings.check()?;
+    Ok(settings)
+}
+
+fn parse_tuning(text: &str) -> Result<Tuning, serde_norway::Error> {
+    if text.trim().is_empty() {
+        return Ok(Tuning::default());
+    }
+    serde_norway::from_str(text)
+}
+
+impl Settings {
+    fn check(&self) -> Result<(), SettingsError> {
+        let positive = |name: &'static str, v: f64| {
+            if v.is_finite() && v > 0.0 {
+                Ok(())
+            } else {
+                Err(SettingsError::Invalid(name, format!("must be above 0, is {v}")))
+            }
+        };
+        let address = |name: &'static str, v: &str| {
+            v.parse::<std::net::SocketAddr>()
+                .map(|_| ())
+                .map_err(|e| SettingsError::Invalid(name, format!("`{v}`: {e}")))
+        };
+        let d = &self.deployment;
+        if self.member.is_empty() {
+            return Err(SettingsError::Invalid("member", "must not be empty".into()));
+        }
+        address("front", &self.front)?;
+        address("cluster_listen", &self.cluster_listen)?;
+        address("endpoints.cloud", &self.endpoints.cloud)?;
+        address("endpoints.state", &self.endpoints.state)?;
+        for m in &self.members {
+            address("members.endpoint", &m.endpoint)?;
+        }
+        positive("deployment.workers.report_s", d.workers.report_s)?;
+        positive("deployment.workers.lease_s", d.workers.lease_s)?;
+        positive("deployment.workers.gang_wait_s", d.workers.gang_wait_s)?;
+        positive("deployment.workers.gang_peer_s", d.workers.gang_peer_s)?;
+        positive("deployment.workers.cancel_s", d.workers.cancel_s)?;
+        positive("deployment.state.rps", d.state.rps)?;
+        positive("deployment.state.write_rps", d.state.write_rps)?;
+        positive("deployment.state.value_kb", d.state.value_kb)?;
+        positive("deployment.cloud.rps", d.cloud.rps)?;
+        positive("deployment.limits.max_connections", d.limits.max_connections as f64)?;
+        if d.state.txn_ops < 4 {
+            let why = format!("must be at least 4, is {}", d.state.txn_ops);
+            return Err(SettingsError::Invalid("deployment.state.txn_ops", why));
+        }
+        if d.zones.is_empty() {
+            return Err(SettingsError::Invalid("deployment.zones", "must not be empty".into()));
+        }
+        for t in &d.teams {
+            for v in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
+                if !(v.is_finite() && v >= 0.0) {
+                    let why = format!("`{}`: must be 0 or more, is {v}", t.name);
+                    return Err(SettingsError::Invalid("deployment.teams", why));
+                }
+            }
+        }
+        let t = &self.tuning;
+        positive("rejection_cost", t.rejection_cost)?;
+        positive("rate_window", t.rate_window)?;
+        positive("default_span_s", t.default_span_s)?;
+        positive("idle_boots", t.idle_boots)?;
+        positive("route_chunk", f64::from(t.route_chunk))?;
+        if !(500..=60_000).contains(&t.leader_lease_ms) {
+            return Err(SettingsError::Invalid("leader_lease_ms", "must be 500 to 60000".into()));
+        }
+        Ok(())
+    }
+
+    /// How long a leader that can't renew its own lease may go on renewing the workers': until
+    /// then tasks survive an outage of the state service, and yet they end within `cancel_s` of
+    /// any cancellation that a successor could have accepted (not before the lease has ended).
+    pub fn holding_ms(&self) -> u64 {
+        let w = &self.deployment.workers;
+        let s = w.cancel_s - w.lease_s * 1.002 - 1.0;
+        self.tuning.leader_lease_ms + (s.max(0.0) * 1000.0) as u64
+    }
+
+    /// A worker's lease, as long as it may last by another machine's clock.
+    pub fn lease_ms(&self) -> u64 {
+        (self.deployment.workers.lease_s * 1002.0) as u64 + 100
+    }
+
+    /// Deadline span by class: the longest span that the class's objectives speak of.
+    pub fn class_span(&self, class: &str) -> Option<f64> {
+        self.deployment
+            .objectives
+            .iter()
+            .filter(|o| o.class.as_deref() == Some(class))
+            .filter_map(|o| o.within_s)
+            .filter(|s| s.is_finite() && *s > 0.0)
+            .fold(None, |a: Option<f64>, s| Some(a.map_or(s, |a| a.max(s))))
+    }
+}
+
+#[cfg(test)]
+pub mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"
+member = "c-0"
+zone = "north"
+front = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+future_field = 3
+[[members]]
+member = "c-1"
+zone = "south"
+endpoint = "127.0.0.1:8082"
+[endpoints]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[deployment]
+zones = ["north", "south"]
+clock_off_ms = 5.0
+teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }, { name = "blue", cpus = 8.0, cpus_max = 32.0 }]
+objectives = [{ kind = "wait", class = "steady", within_s = 40.0 }, { kind = "finished", class = "steady", within_s = 90.0 }]
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[deployment.state]
+rps = 250.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 16
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[deployment.limits]
+max_connections = 100
+"#;
+
+    pub fn sample() -> Settings {
+        toml::from_str(SAMPLE).expect("the sample parses")
+    }
+
+    #[test]
+    fn refuses_what_makes_no_sense_and_names_the_field() {
+        let cases = [
+            ("front = \"127.0.0.1:8080\"", "front = \"nowhere\"", "front"),
+            ("lease_s = 10.0", "lease_s = -1.0", "lease_s"),
+            ("lease_s = 10.0", "lease_s = nan", "lease_s"),
+            ("lease_s = 10.0", "", "lease_s"),
+            ("txn_ops = 16", "txn_ops = 1", "txn_ops"),
+            ("zones = [\"north\", \"south\"]", "zones = []", "zones"),
+            ("cpus = 16.0", "cpus = -2.0", "teams"),
+            ("write_rps = 60.0", "write_rps = 0.0", "write_rps"),
+        ];
+        for (from, to, field) in cases {
+            let text = SAMPLE.replace(from, to);
+            let error = match toml::from_str::<Settings>(&text) {
+                Ok(s) => s.check().expect_err(to).to_string(),
+                Err(e) => e.to_string(),
+            };
+            assert!(error.contains(field), "{to}: {error}");
+        }
+        assert!(sample().check().is_ok());
+    }
+
+    #[test]
+    fn operators_file_refuses_unknown_keys() {
+        assert_eq!(parse_tuning("rejection_cost: 0.5").unwrap().rejection_cost, 0.5);
+        assert!(parse_tuning("rejection_cots: 0.5").unwrap_err().to_string().contains("cots"));
+        assert_eq!(parse_tuning("").unwrap().route_chunk, 1000);
+    }
+
+    #[test]
+    fn holding_ends_before_a_cancel_is_due() {
+        // Guards `ran_cancelled`: an isolated leader's last renewal plus a whole worker lease
+        // must lie within cancel_s of the moment its own lease ran out.
+        let s = sample();
+        let lease = s.tuning.leader_lease_ms;
+        let end = s.holding_ms() + s.lease_ms();
+        assert!(end < lease + (s.deployment.workers.cancel_s * 1000.0) as u64);
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,343 @@
+//! The state service by its protocol: reads, transactions, leases, and the records kept there.
+
+use crate::http::{Answer, CallError, Client, encode};
+use crate::jobs::JobBody;
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    #[error("state service refuses: status {0}")]
+    Status(u16),
+    #[error("state service: {0}")]
+    Call(#[from] CallError),
+    #[error("state service: malformed answer")]
+    Malformed,
+}
+
+/// What became of a transaction.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Applied, at this revision.
+    Applied(u64),
+    /// A condition failed; these keys have other versions.
+    Conflict(Vec<String>),
+    /// The lease of a put has run out.
+    NoLease,
+    /// Surely not executed.
+    Refused,
+    /// Perhaps executed, perhaps later.
+    Unknown,
+}
+
+/// `c/leader`: who leads, attached to its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    pub member: String,
+    pub term: u64,
+    pub nonce: u64,
+}
+
+/// `c/term`: the highest term given out.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TermRecord {
+    pub term: u64,
+}
+
+/// `j/ID`: an accepted job that is not over.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct JobRecord {
+    pub job: JobBody,
+    /// Time of day of its acceptance, milliseconds.
+    pub at: u64,
+    #[serde(default)]
+    pub cancelled: bool,
+}
+
+/// `d/ID/CHUNK`: finished tasks as start, length, start, length…
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct DoneRecord {
+    pub r: Vec<u32>,
+}
+
+/// `f/ID`: a job that is over; never deleted.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub done: bool,
+    pub tasks: u32,
+}
+
+/// `m/NAME`: a machine and the tasks that may be on it (a superset).
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MachineRecord {
+    pub addr: String,
+    pub berth: String,
+    pub yard: String,
+    pub spot: bool,
+    pub shift: u64,
+    pub on: Vec<OnRecord>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OnRecord {
+    pub j: String,
+    pub t: u64,
+    /// Tasks as start, length, start, length…
+    pub r: Vec<u32>,
+}
+
+/// `r/NAME`: a rental that may have been asked for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RentalRecord {
+    pub berth: String,
+    pub yard: String,
+    pub spot: bool,
+    pub number: u32,
+}
+
+#[derive(Debug, Clone, Serialize)]
+#[serde(untagged)]
+pub enum Record {
+    Leader(LeaderRecord),
+    Term(TermRecord),
+    Job(Box<JobRecord>),
+    Done(DoneRecord),
+    Final(FinalRecord),
+    Machine(MachineRecord),
+    Rental(RentalRecord),
+}
+
+#[derive(Debug, Clone, Serialize)]
+#[serde(untagged)]
+pub enum Change {
+    Put {
+        put: String,
+        v: Record,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        charter: Option<u64>,
+    },
+    Delete {
+        delete: String,
+    },
+}
+
+impl Change {
+    pub fn path(&self) -> &str {
+        match self {
+            Change::Put { put, .. } => put,
+            Change::Delete { delete } => delete,
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Cond {
+    pub path: String,
+    pub stamp: u64,
+}
+
+#[derive(Deserialize)]
+struct Item<T> {
+    #[serde(default)]
+    path: String,
+    v: T,
+    stamp: u64,
+}
+
+/// Start, length, start, length… of the sorted numbers.
+pub fn to_ranges(sorted: impl IntoIterator<Item = u32>) -> Vec<u32> {
+    let mut out: Vec<u32> = Vec::new();
+    for n in sorted {
+        if let [.., start, len] = out.as_mut_slice()
+            && *start + *len == n
+        {
+            *len += 1;
+            continue;
+        }
+        out.extend([n, 1]);
+    }
+    out
+}
+
+pub fn from_ranges(ranges: &[u32]) -> impl Iterator<Item = u32> + '_ {
+    ranges.chunks_exact(2).flat_map(|c| c[0]..c[0].saturating_add(c[1].min(100_000)))
+}
+
+pub struct Store {
+    http: Client,
+    addr: String,
+}
+
+const READ: Duration = Duration::from_millis(1500);
+const COMMIT: Duration = Duration::from_millis(1500);
+
+impl Store {
+    pub fn new(addr: String) -> Store {
+        Store { http: Client::new(6), addr }
+    }
+
+    fn decode<T: DeserializeOwned>(answer: &Answer) -> Result<T, StoreError> {
+        answer.decode().ok_or(StoreError::Malformed)
+    }
+
+    /// A key's value and version; none if it does not exist.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        key: &str,
+    ) -> Result<Option<(T, u64)>, StoreError> {
+        let answer = self.http.get(&self.addr, &format!("/store/{key}"), READ).await?;
+        match answer.status {
+            200 => {
+                let item: Item<T> = Self::decode(&answer)?;
+                Ok(Some((item.v, item.stamp)))
+            }
+            404 => Ok(None),
+            s => Err(StoreError::Status(s)),
+        }
+    }
+
+    /// Every key with the prefix: path, value, version.
+    pub async fn list<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+    ) -> Result<Vec<(String, T, u64)>, StoreError> {
+        #[derive(Deserialize)]
+        struct Page<T> {
+            pairs: Vec<Item<T>>,
+            #[serde(default)]
+            more: bool,
+        }
+        let mut out: Vec<(String, T, u64)> = Vec::new();
+        loop {
+            let since = out.last().map(|(p, ..)| format!("&since={p}")).unwrap_or_default();
+            let path = format!("/store?prefix={prefix}{since}&limit=300");
+            let answer = self.http.get(&self.addr, &path, READ).await?;
+            if answer.status != 200 {
+                return Err(StoreError::Status(answer.status));
+            }
+            let page: Page<T> = Self::decode(&answer)?;
+            let end = !page.more || page.pairs.is_empty();
+            out.extend(page.pairs.into_iter().map(|i| (i.path, i.v, i.stamp)));
+            if end {
+                return Ok(out);
+            }
+        }
+    }
+
+    pub async fn commit(&self, when: &[Cond], apply: &[Change]) -> Outcome {
+        #[derive(Serialize)]
+        struct Body<'a> {
+            when: &'a [Cond],
+            apply: &'a [Change],
+        }
+        #[derive(Deserialize)]
+        struct Rev {
+            #[serde(rename = "ledgerRev")]
+            rev: u64,
+        }
+        #[derive(Deserialize)]
+        struct Failed {
+            failed: Vec<String>,
+        }
+        let body = encode(&Body { when, apply });
+        match self.http.call(Method::POST, &self.addr, "/commit", Some(body), COMMIT).await {
+            Ok(a) => match a.status {
+                200 => a.decode::<Rev>().map_or(Outcome::Unknown, |r| Outcome::Applied(r.rev)),
+                409 => {
+                    a.decode::<Failed>().map_or(Outcome::Unknown, |f| Outcome::Conflict(f.failed))
+                }
+                400 => {
+                    let text = String::from_utf8_lossy(&a.body);
+                    if text.contains("no such lease") {
+                        Outcome::NoLease
+                    } else {
+                        tracing::error!("state service calls a transaction malformed: {text}");
+                        Outcome::Refused
+                    }
+                }
+                429 | 503 => Outcome::Refused,
+                _ => Outcome::Unknown,
+            },
+            Err(CallError::Refused(_)) => Outcome::Refused,
+            Err(CallError::Lost(_)) => Outcome::Unknown,
+        }
+    }
+
+    pub async fn lease(&self, ttl_ms: u64) -> Result<u64, StoreError> {
+        #[derive(Serialize)]
+        #[serde(rename_all = "camelCase")]
+        struct Body {
+            ttl_ms: u64,
+        }
+        #[derive(Deserialize)]
+        struct Granted {
+            charter: u64,
+        }
+        let answer = self.http.post(&self.addr, "/leases", &Body { ttl_ms }, READ).await?;
+        match answer.status {
+            200 | 201 => Ok(Self::decode::<Granted>(&answer)?.charter),
+            s => Err(StoreError::Status(s)),
+        }
+    }
+
+    /// Renews a lease; false if it is no more.
+    pub async fn extend(&self, id: u64, limit: Duration) -> Result<bool, StoreError> {
+        let path = format!("/leases/{id}/extend");
+        let none = std::collections::BTreeMap::<String, u64>::new();
+        let answer = self.http.post(&self.addr, &path, &none, limit).await?;
+        match answer.status {
+            200 => Ok(true),
+            404 => Ok(false),
+            s => Err(StoreError::Status(s)),
+        }
+    }
+
+    pub async fn end_lease(&self, id: u64) {
+        let path = format!("/leases/{id}");
+        let _ = self.http.call(Method::DELETE, &self.addr, &path, None, READ).await;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranges_there_and_back() {
+        let cases: [(&[u32], &[u32]); 4] = [
+            (&[], &[]),
+            (&[0], &[0, 1]),
+            (&[0, 1, 2, 5, 7, 8], &[0, 3, 5, 1, 7, 2]),
+            (&[99_999], &[99_999, 1]),
+        ];
+        for (numbers, ranges) in cases {
+            assert_eq!(to_ranges(numbers.iter().copied()), ranges);
+            assert_eq!(from_ranges(ranges).collect::<Vec<_>>(), numbers);
+        }
+        // A range from a malformed record must not be walked for ever.
+        assert!(from_ranges(&[5, u32::MAX]).count() <= 100_000);
+    }
+
+    #[test]
+    fn changes_on_the_wire() {
+        let put = Change::Put {
+            put: "f/wk-1".into(),
+            v: Record::Final(FinalRecord { done: true, tasks: 3 }),
+            charter: None,
+        };
+        let bytes = encode(&[put, Change::Delete { delete: "j/wk-1".into() }]);
+        #[derive(Deserialize)]
+        struct Seen {
+            put: Option<String>,
+            v: Option<FinalRecord>,
+            delete: Option<String>,
+            charter: Option<u64>,
+        }
+        let seen: Vec<Seen> = rmp_serde::from_slice(&bytes).unwrap();
+        assert_eq!(seen[0].put.as_deref(), Some("f/wk-1"));
+        assert!(seen[0].v.as_ref().is_some_and(|f| f.done) && seen[0].charter.is_none());
+        assert_eq!(seen[1].delete.as_deref(), Some("j/wk-1"));
+    }
+}
