--- a/src/cell.rs
+++ b/src/cell.rs
@@ -178,10 +178,11 @@
     }
 
     /// Takes a job in; `done` and `cancelled` come from its records after a takeover.
-    pub fn insert_job(&mut self, spec: Spec, body: JobBody, at: u64) -> JobId {
+    pub fn insert_job(&mut self, spec: Spec, body: JobBody, at: u64, born: i64) -> JobId {
         let id = JobId::from(self.new_id());
-        let job =
+        let mut job =
             Job::new(Arc::new(spec), Arc::new(body), at, self.names.zones.len(), self.pools());
+        job.born = born;
         self.by_uid.insert(job.spec.uid.clone(), id);
         self.order.insert((at, id));
         self.jobs.insert(id, job);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -203,7 +203,7 @@
         }
         let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
         let mut used = self.usage.clone();
-        for r in self.ranked() {
+        for r in self.ranked(now) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let spec = &job.spec;
             if job.waiting.is_empty() || now < job.retry_at {
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -257,6 +257,8 @@
     pub body: Arc<JobBody>,
     /// Time of day of acceptance, milliseconds; with the id, the order of arrival.
     pub at: u64,
+    /// The same moment on the leader's steady clock; before its start for jobs taken over.
+    pub born: i64,
     /// Version of the record that makes it accepted.
     pub accept_ver: u64,
     pub cancel_ver: Option<u64>,
@@ -293,6 +295,7 @@
             spec,
             body,
             at,
+            born: 0,
             accept_ver: 0,
             cancel_ver: None,
             final_ver: None,
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -194,7 +194,9 @@
                 continue;
             }
         };
-        let id = cell.insert_job(spec, record.job, record.at);
+        let age = Node::wall_ms().saturating_sub(record.at);
+        let born = now as i64 - i64::try_from(age).unwrap_or(0);
+        let id = cell.insert_job(spec, record.job, record.at, born);
         let at = record.at;
         if let Some(job) = cell.jobs.get_mut(&id) {
             job.wait = Wait::Nothing;
--- a/src/node.rs
+++ b/src/node.rs
@@ -296,7 +296,7 @@
                     return Err(Reply { retry_after: 10, ..reply });
                 }
             };
-            let id = c.insert_job(spec, job, Self::wall_ms());
+            let id = c.insert_job(spec, job, Self::wall_ms(), now as i64);
             let ver = c.touch(crate::cell::Key::Job(id));
             if let Some(j) = c.jobs.get_mut(&id) {
                 j.routed = routed;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -2,7 +2,7 @@
 //! and who has to make room for whom.
 
 use crate::cell::Cell;
-use crate::jobs::{EPS, Precedence, Shape, Spec, Wait};
+use crate::jobs::{EPS, Job, Precedence, Shape, Spec, Wait};
 use crate::names::*;
 use crate::workers::Seen;
 use std::collections::{BTreeMap, HashMap};
@@ -60,10 +60,12 @@
 const RESERVE_MS: u64 = 30_000;
 
 impl Cell {
-    /// Open jobs: those within their team's guarantee first, then by precedence, then first come.
-    pub fn ranked(&self) -> Vec<Ranked> {
+    /// Open jobs in the order in which they are served: those within their team's guarantee first,
+    /// then by precedence. Among equals, those that can still be in time and have the least work
+    /// left go first; a job that has waited for three times its span goes before all of them.
+    pub fn ranked(&self, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.usage.len()];
-        let mut out: Vec<(bool, Precedence, u64, JobId)> = Vec::new();
+        let mut out: Vec<(bool, Precedence, u8, u64, u64, JobId)> = Vec::new();
         for (at, id) in &self.order {
             let Some(job) = self.jobs.get(id) else { continue };
             let team = &self.settings.deployment.teams[job.spec.team.ix()];
@@ -71,10 +73,26 @@
             sum.0 += job.spec.cpus * f64::from(job.left());
             sum.1 += job.spec.cards * f64::from(job.left());
             let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
-            out.push((!within, job.spec.precedence, *at, *id));
+            let (turn, work) = self.turn(job, now);
+            out.push((!within, job.spec.precedence, turn, work, *at, *id));
         }
         out.sort_unstable();
-        out.into_iter().map(|(g, _, _, id)| Ranked { id, guaranteed: !g }).collect()
+        out.into_iter().map(|(g, .., id)| Ranked { id, guaranteed: !g }).collect()
+    }
+
+    /// 0: has waited far too long; 1: may be in time; 2: is late already. And the work left, in
+    /// CPU milliseconds.
+    fn turn(&self, job: &Job, now: u64) -> (u8, u64) {
+        let spec = &job.spec;
+        let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
+        let span = 1.0 / self.theta(spec);
+        let age = (now as i64 - job.born) as f64 / 1000.0;
+        if age > 3.0 * span {
+            return (0, 0);
+        }
+        let late = spec.shape == Shape::Array && age + run > span;
+        let work = f64::from(job.left()) * spec.cpus.max(0.1) * run * 1000.0;
+        (if late { 2 } else { 1 }, work as u64)
     }
 
     pub fn slots(&self, now: u64) -> Vec<Slot> {
@@ -127,7 +145,7 @@
     /// One pass: every waiting task that can be placed is put on a machine's list.
     pub fn place(&mut self, now: u64) {
         self.stir = false;
-        let ranked = self.ranked();
+        let ranked = self.ranked(now);
         let mut slots = self.slots(now);
         let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
         for r in &ranked {
