--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -280,12 +280,75 @@
         out.into_iter().collect()
     }
 
+    /// The shortest time within which an objective wants work to start.
+    fn start_span(&self) -> Option<f64> {
+        let kinds = ["wait", "guarantee"];
+        let objectives = self.settings.deployment.objectives.iter();
+        let spans = objectives.filter(|o| kinds.contains(&o.kind.as_str()));
+        spans.filter_map(|o| o.within_s).reduce(f64::min)
+    }
+
+    /// Where every type boots slower than work has to start, renting on demand is always late:
+    /// there the fleet is kept at what the teams' guarantees could call for.
+    fn boots_late(&self) -> bool {
+        let quickest = self.flavors.iter().map(|f| f.boot_s).fold(f64::MAX, f64::min);
+        self.start_span().is_some_and(|s| quickest > s)
+    }
+
+    /// CPUs to be kept less those that are up or coming.
+    fn standing_gap(&self) -> f64 {
+        if !self.boots_late() {
+            return f64::MIN;
+        }
+        let want: f64 = self.settings.deployment.teams.iter().map(|t| t.cpus).sum();
+        let up: f64 =
+            self.machines.values().filter(|m| !m.faulty && !m.leaving).map(|m| m.cpus).sum();
+        let coming = self.fleet.booting.values().map(|b| (b.kind, 1));
+        let asked = self.fleet.rentals.values().filter(|r| !r.resolved);
+        let coming: f64 = coming
+            .chain(asked.map(|r| (r.what.0, r.number)))
+            .map(|(kind, n)| self.flavors[kind.ix()].cpus * f64::from(n))
+            .sum();
+        want - up - coming
+    }
+
+    fn standing_rental(&self, now: u64) -> Option<(Kind, u32)> {
+        let gap = self.standing_gap();
+        let busy = self.fleet.rentals.values().any(|r| !r.resolved);
+        if gap <= EPS || busy {
+            return None;
+        }
+        let mut best: Option<(f64, Kind, u32)> = None;
+        for (i, f) in self.flavors.iter().enumerate() {
+            let kind = TypeId::from(i);
+            if f.cpus <= 0.0 {
+                continue;
+            }
+            for zone in &f.zones {
+                for spot in [false, true] {
+                    let what = (kind, *zone, spot);
+                    // Ordinary machines serve everybody; spot ones only if nothing else is left.
+                    let price = f.hourly / f.cpus + if spot { 1e6 } else { 0.0 };
+                    let number = (gap / f.cpus).ceil().clamp(1.0, 8.0) as u32;
+                    if !self.fleet.paused(&what, now) && best.is_none_or(|b| price < b.0) {
+                        best = Some((price, what, number));
+                    }
+                }
+            }
+        }
+        best.map(|(_, what, number)| (what, number))
+    }
+
     /// Plans rentals; each is recorded before it is asked for.
     pub fn plan_rentals(&mut self, now: u64) {
         if self.fleet.rentals.len() >= 8 {
             return;
         }
-        for (what, number) in self.demand(now) {
+        let mut wanted = self.demand(now);
+        if wanted.is_empty() {
+            wanted.extend(self.standing_rental(now));
+        }
+        for (what, number) in wanted {
             let busy = self.fleet.rentals.values().any(|r| r.what == what && !r.resolved);
             if busy || self.fleet.rentals.len() >= 8 {
                 continue;
@@ -381,6 +444,7 @@
             }
         }
         let mut back = vec![];
+        let mut spare = -self.standing_gap();
         for (mid, m) in &self.machines {
             if self.lease_over(m, now) {
                 back.push((*mid, "its lease has run out"));
@@ -393,7 +457,8 @@
             } else {
                 let keep = self.settings.tuning.idle_boots * self.flavors[m.kind.ix()].boot_s;
                 let free = m.reserved.is_none_or(|(_, until)| now >= until);
-                if free && now > m.idle_since + (keep * 1000.0) as u64 {
+                if free && spare >= m.cpus && now > m.idle_since + (keep * 1000.0) as u64 {
+                    spare -= m.cpus;
                     back.push((*mid, "it is idle"));
                 }
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -462,9 +462,16 @@
             need = need.saturating_sub(n);
             any = true;
             let mid = slots[i].mid;
-            slots[i].reserved = Some(r.id);
+            // A gang needs all its places at once, so they are kept for it. An array's tasks come
+            // one by one: served first anyway, it needs no machine to itself.
+            let keep = spec.shape != Shape::Array;
+            if keep {
+                slots[i].reserved = Some(r.id);
+            }
             if let Some(m) = self.machines.get_mut(&mid) {
-                m.reserved = Some((r.id, now + RESERVE_MS));
+                if keep {
+                    m.reserved = Some((r.id, now + RESERVE_MS));
+                }
                 let (name, count) = (m.name.clone(), victims.len());
                 if count > 0 {
                     tracing::info!("preempt {count} tasks on {name} for {}", spec.uid);
