--- a/src/settings.rs
+++ b/src/settings.rs
@@ -146,7 +146,7 @@
             rate_window: 200.0,
             default_span_s: 600.0,
             leader_lease_ms: 2500,
-            idle_boots: 2.5,
+            idle_boots: 1.0,
             route_chunk: 1000,
         }
     }
