Count places that free up sooner than a boot; no circles in forwarding; unwritable records

Also: a request is passed on at most twice, a record the state service calls malformed blocks no other.

--- a/src/cell.rs
+++ b/src/cell.rs
@@ -219,10 +219,20 @@
         }
         job.waiting.remove(&task);
         job.failures = 0;
+        // A newer attempt of an array's task, if one is on its way, has nothing left to do.
+        let again = job.spec.shape == Shape::Array && job.onto.contains_key(&task);
         let ver = self.touch(Key::Done(id, chunk));
         if let Some(job) = self.jobs.get_mut(&id) {
             job.unsaved.insert(task, ver);
         }
+        if again {
+            let on = |m: &Machine| m.entries.contains_key(&(id, task));
+            let found: Vec<MachineId> =
+                self.machines.iter().filter(|(_, m)| on(m)).map(|(mid, _)| *mid).collect();
+            for mid in found {
+                self.stop_task(mid, id, task, self.taken, 0.0);
+            }
+        }
         self.settle(id);
     }
 
@@ -491,6 +501,15 @@
         (!batch.keys.is_empty()).then_some(batch)
     }
 
+    /// A transaction was called malformed. Alone in it, a record is given up for good: what
+    /// waits for it is never called safe.
+    pub fn malformed(&mut self, batch: &Batch) {
+        if let [key] = batch.keys.as_slice() {
+            tracing::error!("given up as unwritable: {key:?}");
+            self.dirty.remove(key);
+        }
+    }
+
     /// A transaction was applied at `rev`.
     pub fn applied(&mut self, batch: &Batch, rev: u64) {
         for change in &batch.apply {
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -193,28 +193,31 @@
     }
 
     /// The link on which `leader` is best reached: its own, or that of a peer which reaches it.
-    fn way(&self, leader: usize, now: u64) -> Option<(&Arc<Link>, u8)> {
+    fn way(&self, leader: usize, now: u64, direct: bool) -> Option<(&Arc<Link>, u8)> {
         if let Some(l) = self.links.iter().find(|l| l.ix == leader && l.healthy(now)) {
             return Some((l, 0));
         }
+        if direct {
+            return None;
+        }
         let bit = 1u16 << (leader & 15);
         let over = self.links.iter().find(|l| l.healthy(now) && l.view().reaches & bit != 0);
         over.map(|l| (l, 1))
     }
 
     pub fn can_reach(&self, leader: usize, now: u64) -> bool {
-        leader == self.me || self.way(leader, now).is_some()
+        leader == self.me || self.way(leader, now, false).is_some()
     }
 
     pub async fn forward(
         &self,
         leader: usize,
-        now: u64,
+        (now, direct): (u64, bool),
         op: Op,
         body: &[u8],
         limit: Duration,
     ) -> Option<Reply> {
-        let (link, hops) = self.way(leader, now)?;
+        let (link, hops) = self.way(leader, now, direct)?;
         link.ask(op, hops, body, limit).await
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -7,6 +7,7 @@
 use crate::node::Node;
 use crate::placement::Slot;
 use crate::store::RentalRecord;
+use crate::workers::Seen;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -193,6 +194,22 @@
                 reserved: None,
             }
         };
+        // A place that a running task is about to leave comes sooner than a machine that boots.
+        let boot = self.flavors.iter().map(|f| f.boot_s).fold(f64::MAX, f64::min);
+        for s in &mut slots {
+            let Some(m) = self.machines.get(&s.mid).filter(|_| s.reserved.is_none()) else {
+                continue;
+            };
+            for ((id, _), e) in &m.entries {
+                let Some(job) = self.jobs.get(id) else { continue };
+                let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
+                let ran = now.saturating_sub(e.running_at) as f64 / 1000.0;
+                let running = e.seen == Seen::Running && job.spec.shape != Shape::Service;
+                if e.stop.is_some() || (running && run - ran < boot) {
+                    s.take_back(&job.spec);
+                }
+            }
+        }
         for b in self.fleet.booting.values() {
             slots.push(fresh((b.kind, b.zone, b.spot), u32::MAX));
         }
@@ -400,7 +417,7 @@
     /// is taken for gone on its word alone.
     pub fn listed(&mut self, hosts: &[Host], now: u64) {
         for h in hosts {
-            if h.status == "failed" {
+            if h.status == "failed" && !self.fleet.gone.contains(&h.uid) {
                 self.fleet.back.insert(h.uid.clone(), "it has failed");
                 continue;
             }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -286,6 +286,7 @@
     let rate = limits.write_rps * 0.8;
     let most = (limits.write_rps * 0.5).max(2.0);
     let (mut tokens, mut at) = (most, node.now());
+    let mut alone = false;
     loop {
         let now = node.now();
         tokens = (tokens + rate * (now - at) as f64 / 1000.0).min(most);
@@ -294,7 +295,7 @@
             sleep(ms(20)).await;
             continue;
         }
-        let ops = (tokens as usize).min(limits.txn_ops);
+        let ops = if alone { 2 } else { (tokens as usize).min(limits.txn_ops) };
         let Some(batch) = node.with_cell(term, |c, _| c.batch(ops)) else { return "superseded" };
         let Some(batch) = batch else {
             node.dirty.notified().await;
@@ -305,6 +306,7 @@
         tokens -= batch.apply.len() as f64;
         match node.store.commit(&batch.when, &batch.apply).await {
             Outcome::Applied(rev) => {
+                alone = false;
                 node.with_cell(term, |c, _| c.applied(&batch, rev));
                 node.bump();
             }
@@ -324,6 +326,12 @@
                 }
             }
             Outcome::NoLease => return "its lease has run out",
+            Outcome::Malformed => {
+                // One record that can't be written must not keep all others from it.
+                alone = true;
+                node.with_cell(term, |c, _| c.malformed(&batch));
+                sleep(ms(100)).await;
+            }
             Outcome::Refused => sleep(ms(150)).await,
             Outcome::Unknown => sleep(ms(100)).await,
         }
--- a/src/node.rs
+++ b/src/node.rs
@@ -193,7 +193,9 @@
         let limit = if op == Op::Report { Duration::from_millis(3000) } else { limit };
         if hops > 0
             && let Some(leader) = self.leader().filter(|l| *l != self.cluster.me)
-            && let Some(reply) = self.cluster.forward(leader, self.now(), op, body, limit).await
+            // What was passed on once goes straight to the leader, so that it can't go in circles.
+            && let Some(reply) =
+                self.cluster.forward(leader, (self.now(), hops < 2), op, body, limit).await
             && (reply.status != 503 || op != Op::Show)
         {
             return reply;
@@ -269,7 +271,7 @@
                 return self.accepted(term, &uid, 200).await;
             }
         }
-        let job = match jobs::parse(body) {
+        let mut job = match jobs::parse(body) {
             Ok(job) => job,
             Err(e) => return Reply::error(400, &e.to_string()),
         };
@@ -288,6 +290,13 @@
                 Err(e @ Refusal::Never(_)) => return Err(Reply::error(422, &e.to_string())),
                 Err(e) => return Err(Reply::error(400, &e.to_string())),
             };
+            // Types that the cloud doesn't have can't matter, and a long list of them would not
+            // fit into the record.
+            if let Some(berths) = &mut job.berths {
+                berths.sort_unstable();
+                berths.dedup();
+                berths.retain(|b| c.flavors.iter().any(|f| f.label == *b));
+            }
             let routed = match c.admit(&spec, now) {
                 Ok(routed) => routed,
                 Err(nu) => {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -474,7 +474,8 @@
                 }
                 let (name, count) = (m.name.clone(), victims.len());
                 if count > 0 {
-                    tracing::info!("preempt {count} tasks on {name} for {}", spec.uid);
+                    let why = if spec.shape == Shape::Array { "guarantee" } else { "priority" };
+                    tracing::info!("preempt {count} tasks on {name} for {} ({why})", spec.uid);
                 }
             }
             for (vid, task) in victims {
@@ -566,7 +567,7 @@
 }
 
 impl Slot {
-    fn take_back(&mut self, spec: &Spec) {
+    pub fn take_back(&mut self, spec: &Spec) {
         self.cpus += spec.cpus;
         self.cards += spec.cards;
         self.mem_gb += spec.mem_gb;
--- a/src/store.rs
+++ b/src/store.rs
@@ -28,6 +28,8 @@
     NoLease,
     /// Surely not executed.
     Refused,
+    /// Called malformed: it will never be executed as it is.
+    Malformed,
     /// Perhaps executed, perhaps later.
     Unknown,
 }
@@ -254,7 +256,7 @@
                         Outcome::NoLease
                     } else {
                         tracing::error!("state service calls a transaction malformed: {text}");
-                        Outcome::Refused
+                        Outcome::Malformed
                     }
                 }
                 429 | 503 => Outcome::Refused,
