--- a/src/cell.rs
+++ b/src/cell.rs
@@ -257,6 +257,20 @@
         if !over {
             return;
         }
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let class = self.names.classes.name(job.spec.class.ix());
+            let since = |t: u64| (t as i64 - job.born) / 1000;
+            let due = job.spec.deadline_s.unwrap_or(0.0);
+            tracing::debug!(
+                "over: {} {class} {} tasks, due in {due:.0} s, estimate {:.0} s, last placed after {} s, {} preempted, {} failures",
+                job.spec.uid,
+                job.spec.tasks,
+                job.spec.estimate_s,
+                since(job.placed_at),
+                job.preempted,
+                job.failures,
+            );
+        }
         let at = job.at;
         let chunks = job.spec.tasks.div_ceil(CHUNK);
         let ver = self.touch(Key::Job(id));
@@ -341,6 +355,7 @@
         if let Some(job) = self.jobs.get_mut(&id)
             && let Some(m) = self.machines.get(&mid)
         {
+            job.placed_at = now;
             let pool = m.zone.ix() * self.flavors.len() + m.kind.ix();
             let r = match job.routed.get(pool) {
                 Some(r) if *r > 0 => Some(pool),
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -284,6 +284,10 @@
     pub failures: u32,
     pub retry_at: u64,
     pub wait: Wait,
+    /// How many of its tasks were stopped to make room, and when its last waiting task was placed;
+    /// for the log.
+    pub preempted: u32,
+    pub placed_at: u64,
     /// Since when it has waited for room, for preemption and reservations.
     pub ready_at: u64,
 }
@@ -312,6 +316,8 @@
             failures: 0,
             retry_at: 0,
             wait: Wait::Recording,
+            preempted: 0,
+            placed_at: 0,
             ready_at: 0,
         }
     }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -479,7 +479,8 @@
                 }
             }
             for (vid, task) in victims {
-                let Some(v) = self.jobs.get(&vid) else { continue };
+                let Some(v) = self.jobs.get_mut(&vid) else { continue };
+                v.preempted += 1;
                 let grace = if v.spec.checkpoint_s > 0.0 { v.spec.save_s + 1.0 } else { 0.0 };
                 if v.spec.shape == Shape::Gang {
                     self.stop_all(vid, now, grace);
