--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -19,6 +19,7 @@
     pub cpus: f64,
     pub cards: f64,
     pub mem_gb: f64,
+    pub cache_gb: f64,
     pub fetch_gb_per_s: f64,
     pub hourly: f64,
     pub spot_hourly: f64,
@@ -35,6 +36,8 @@
     cards: f64,
     mem_gb: f64,
     #[serde(default)]
+    cache_gb: f64,
+    #[serde(default)]
     fetch_gb_per_s: f64,
     hourly: f64,
     #[serde(default)]
@@ -50,6 +53,7 @@
             cpus: w.cpus.max(0.0),
             cards: w.cards.max(0.0),
             mem_gb: w.mem_gb.max(0.0),
+            cache_gb: w.cache_gb,
             fetch_gb_per_s: w.fetch_gb_per_s.max(0.001),
             hourly: w.hourly,
             spot_hourly: w.spot_price,
@@ -112,8 +116,9 @@
         }
     }
 
-    pub fn came_up(&mut self, name: &str) {
-        self.booting.remove(name);
+    /// A machine reports: it boots no more. Since when it is paid for, if that is known.
+    pub fn came_up(&mut self, name: &str) -> Option<u64> {
+        self.booting.remove(name).map(|b| b.since)
     }
 
     fn paused(&self, what: &Kind, now: u64) -> bool {
@@ -147,6 +152,9 @@
     }
 }
 
+/// What a machine costs at least, however soon it is given back.
+const MIN_CHARGE_MS: u64 = 60_000;
+
 impl Cell {
     /// How many tasks of the job should run at once to be in time: all of them where a deadline
     /// or guarantee presses, fewer where the class's objective leaves time for more than one
@@ -317,7 +325,8 @@
         if !self.boots_late() {
             return f64::MIN;
         }
-        let want: f64 = self.settings.deployment.teams.iter().map(|t| t.cpus).sum();
+        let guarantees: f64 = self.settings.deployment.teams.iter().map(|t| t.cpus).sum();
+        let want = guarantees * self.settings.tuning.standing;
         let up: f64 =
             self.machines.values().filter(|m| !m.faulty && !m.leaving).map(|m| m.cpus).sum();
         let coming = self.fleet.booting.values().map(|b| (b.kind, 1));
@@ -473,7 +482,9 @@
                 back.push((*mid, "the cloud takes it"));
             } else {
                 let keep = self.settings.tuning.idle_boots * self.flavors[m.kind.ix()].boot_s;
-                let free = m.reserved.is_none_or(|(_, until)| now >= until);
+                let unreserved = m.reserved.is_none_or(|(_, until)| now >= until);
+                // The first minute is paid for in any case.
+                let free = unreserved && now > m.rented + MIN_CHARGE_MS;
                 if free && spare >= m.cpus && now > m.idle_since + (keep * 1000.0) as u64 {
                     spare -= m.cpus;
                     back.push((*mid, "it is idle"));
@@ -665,6 +676,7 @@
             cpus,
             cards: 0.0,
             mem_gb: cpus * 4.0,
+            cache_gb: 50.0,
             fetch_gb_per_s: 0.2,
             hourly,
             spot_price: hourly / 3.0,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -108,7 +108,7 @@
                 cpus: m.cpus - m.used_cpus,
                 cards: m.cards - m.used_cards,
                 mem_gb: m.mem_gb - m.used_mem,
-                images: m.images.clone(),
+                images: m.images.iter().map(|(i, _)| *i).collect(),
                 reserved: m.reserved.filter(|(_, until)| now < *until).map(|(id, _)| id),
             })
             .collect()
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -135,6 +135,9 @@
     pub leader_lease_ms: u64,
     /// An idle machine is kept for this many boot times of its type.
     pub idle_boots: f64,
+    /// Where every machine type boots too slowly for the objectives, the fleet is kept at this
+    /// many times the sum of the teams' guarantees.
+    pub standing: f64,
     /// Tasks of one array routed before other work gets its turn.
     pub route_chunk: u32,
 }
@@ -147,6 +150,7 @@
             default_span_s: 600.0,
             leader_lease_ms: 2500,
             idle_boots: 1.0,
+            standing: 1.25,
             route_chunk: 1000,
         }
     }
@@ -229,6 +233,7 @@
         positive("rate_window", t.rate_window)?;
         positive("default_span_s", t.default_span_s)?;
         positive("idle_boots", t.idle_boots)?;
+        positive("standing", t.standing)?;
         positive("route_chunk", f64::from(t.route_chunk))?;
         if !(500..=60_000).contains(&t.leader_lease_ms) {
             return Err(SettingsError::Invalid("leader_lease_ms", "must be 500 to 60000".into()));
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -154,7 +154,8 @@
     pub heard: u64,
     pub recall_at: Option<u64>,
     /// Images that it should have, the most recent last.
-    pub images: Vec<ImageId>,
+    pub images: Vec<(ImageId, f64)>,
+    cache_gb: f64,
     ended: Vec<Ended>,
     /// Tasks it lists that belong to no open job.
     strays: Vec<(String, u64)>,
@@ -166,6 +167,8 @@
     /// Being returned to the cloud; takes no more work.
     pub leaving: bool,
     pub idle_since: u64,
+    /// Since when it is paid for; 0 if that is not known.
+    pub rented: u64,
     /// Kept free for this job until then.
     pub reserved: Option<(JobId, u64)>,
 }
@@ -175,9 +178,11 @@
         self.used_cpus += spec.cpus;
         self.used_cards += spec.cards;
         self.used_mem += spec.mem_gb;
-        self.images.retain(|i| *i != spec.image);
-        self.images.push(spec.image);
-        if self.images.len() > 32 {
+        self.images.retain(|(i, _)| *i != spec.image);
+        self.images.push((spec.image, spec.image_gb));
+        while self.images.len() > 1
+            && self.images.iter().map(|(_, gb)| gb).sum::<f64>() > self.cache_gb
+        {
             self.images.remove(0);
         }
     }
@@ -256,6 +261,7 @@
             heard: 0,
             recall_at: None,
             images: Vec::new(),
+            cache_gb: f.cache_gb,
             ended: Vec::new(),
             strays: Vec::new(),
             errors: 0,
@@ -264,6 +270,7 @@
             faulty: false,
             leaving: false,
             idle_since: now,
+            rented: 0,
             reserved: None,
         };
         self.machines.insert(mid, machine);
@@ -293,8 +300,9 @@
                 self.add_machine(&r.hearth, &r.addr, kind, zone, r.loaners, now)
             }
         };
-        self.fleet.came_up(&r.hearth);
+        let rented = self.fleet.came_up(&r.hearth);
         let Some(m) = self.machines.get_mut(&mid) else { return Taken::Stale };
+        m.rented = rented.unwrap_or(m.rented);
         if (r.shift, r.tally) <= m.last {
             return Taken::Stale;
         }
