--- /dev/null
+++ b/tests/failures.rs
@@ -0,0 +1,746 @@
+//! Seeded random schedules of failures over stand-ins, in simulated time, with the protocol's
+//! rules asserted after every event. A failing seed is printed and reproduces the failure.
+//!
+//! The stand-ins follow the protocol: a store with conditional transactions, some of which are
+//! applied though nobody is told, or late; workers with tokens, sessions, leases and one report in
+//! flight; a network that delays, loses, duplicates and holds messages; leaders that crash, lose
+//! the store, or are cut off from some workers while a successor takes over.
+
+use copperhaven::cell::{Batch, Cell, Key, Names};
+use copperhaven::fleet::Flavor;
+use copperhaven::jobs::{self, JobBody, Precedence, Shape};
+use copperhaven::leadership::rebuild;
+use copperhaven::settings::Settings;
+use copperhaven::store::{Change, Cond, Record};
+use copperhaven::workers::{Order, Parcel, Report, Taken};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+const SETTINGS: &str = r#"
+member = "a"
+zone = "n"
+front = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+zones = ["n", "s"]
+teams = [{ name = "red", cpus = 8.0, cpus_max = 12.0 }, { name = "blue", cpus = 4.0, cpus_max = 16.0 }]
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[deployment.state]
+rps = 250.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 16
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[deployment.limits]
+max_connections = 100
+"#;
+
+const STEP: u64 = 100;
+
+struct Worker {
+    name: String,
+    zone: &'static str,
+    spot: bool,
+    token: u64,
+    shift: u64,
+    tally: u64,
+    /// Send time of the last answered report.
+    answered: u64,
+    next_report: u64,
+    /// Number and send time of the report in flight, and the leader it went to.
+    flight: Option<(u64, u64)>,
+    hangs_until: u64,
+    tasks: BTreeMap<String, Task>,
+}
+
+#[derive(Clone)]
+struct Task {
+    attempt: u64,
+    ends: u64,
+    cause: Option<&'static str>,
+}
+
+enum Msg {
+    Report(usize, u64, Report),
+    Response(usize, u64, u64, u64, Vec<Order>),
+    Command(usize, u64, u64, Vec<Order>),
+    Commit(u64, Batch, bool),
+}
+
+struct Leader {
+    term: u64,
+    cell: Cell,
+    renewed: u64,
+    store: bool,
+    cut: BTreeSet<usize>,
+    /// A transaction is on its way.
+    writing: bool,
+    waiting: Vec<(usize, (u64, u64), u64)>,
+}
+
+struct World {
+    rng: StdRng,
+    settings: Arc<Settings>,
+    now: u64,
+    store: BTreeMap<String, (Record, u64)>,
+    rev: u64,
+    key: Option<(u64, u64, u64)>,
+    term: u64,
+    workers: Vec<Worker>,
+    leaders: Vec<Leader>,
+    mail: Vec<(u64, Msg)>,
+    submitted: BTreeMap<String, JobBody>,
+    accepted: BTreeSet<String>,
+    told_cancelled: BTreeMap<String, u64>,
+    told_done: BTreeSet<String>,
+    finished: BTreeMap<String, BTreeSet<u32>>,
+    starts: usize,
+}
+
+fn flavors(names: &mut Names) -> Vec<Flavor> {
+    names.types.intern("m8");
+    vec![Flavor {
+        label: "m8".into(),
+        cpus: 8.0,
+        cards: 0.0,
+        mem_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        hourly: 1.0,
+        spot_hourly: 0.3,
+        boot_s: 20.0,
+        zones: names.zones.get("n").into_iter().chain(names.zones.get("s")).collect(),
+    }]
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let settings: Settings = toml::from_str(SETTINGS).expect("settings");
+        let worker = |i: usize| Worker {
+            name: format!("n-{i:03}"),
+            zone: if i.is_multiple_of(2) { "n" } else { "s" },
+            spot: i.is_multiple_of(3),
+            token: 0,
+            shift: 1,
+            tally: 0,
+            answered: 1000,
+            next_report: 1000 + 70 * i as u64,
+            flight: None,
+            hangs_until: 0,
+            tasks: BTreeMap::new(),
+        };
+        World {
+            rng: StdRng::seed_from_u64(seed),
+            settings: Arc::new(settings),
+            now: 1000,
+            store: BTreeMap::new(),
+            rev: 0,
+            key: None,
+            term: 0,
+            workers: (0..5).map(worker).collect(),
+            leaders: vec![],
+            mail: vec![],
+            submitted: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+            told_cancelled: BTreeMap::new(),
+            told_done: BTreeSet::new(),
+            finished: BTreeMap::new(),
+            starts: 0,
+        }
+    }
+
+    fn chance(&mut self, p: f64) -> bool {
+        self.rng.random_bool(p)
+    }
+
+    fn delay(&mut self) -> u64 {
+        match self.rng.random_range(0..40) {
+            0 => self.rng.random_range(500..5_000),
+            1 => self.rng.random_range(5_000..40_000),
+            _ => self.rng.random_range(0..200),
+        }
+    }
+
+    fn post(&mut self, msg: Msg) {
+        let at = self.now + self.delay();
+        self.mail.push((at, msg));
+    }
+
+    /// Applies a transaction if its conditions hold.
+    fn apply(&mut self, batch: &Batch) -> Result<u64, Vec<String>> {
+        let stamp = |w: &World, c: &Cond| match c.path.as_str() {
+            "c/leader" => w.key.map_or(0, |(_, stamp, _)| stamp),
+            path => w.store.get(path).map_or(0, |(_, s)| *s),
+        };
+        let failed: Vec<String> = batch
+            .when
+            .iter()
+            .filter(|c| stamp(self, c) != c.stamp)
+            .map(|c| c.path.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
+        }
+        self.rev += 1;
+        for change in &batch.apply {
+            match change {
+                Change::Put { put, v, .. } => {
+                    self.store.insert(put.clone(), (v.clone(), self.rev));
+                }
+                Change::Delete { delete } => {
+                    self.store.remove(delete);
+                }
+            }
+        }
+        Ok(self.rev)
+    }
+
+    fn elect(&mut self) {
+        self.term += 1;
+        self.rev += 1;
+        let ttl = self.settings.tuning.leader_lease_ms;
+        self.key = Some((self.term, self.rev, self.now + ttl));
+        let mut names = Names::new(&self.settings);
+        let flavors = flavors(&mut names);
+        let leader = Cond { path: "c/leader".into(), stamp: self.rev };
+        let (term, now) = (self.term, self.now);
+        let mut cell = Cell::new(self.settings.clone(), term, leader, now, names, flavors);
+        let (mut j, mut d, mut m, mut r) = (vec![], vec![], vec![], vec![]);
+        for (path, (record, stamp)) in &self.store {
+            match record.clone() {
+                Record::Job(x) => j.push((path.clone(), *x, *stamp)),
+                Record::Done(x) => d.push((path.clone(), x, *stamp)),
+                Record::Machine(x) => m.push((path.clone(), x, *stamp)),
+                Record::Rental(x) => r.push((path.clone(), x, *stamp)),
+                _ => {}
+            }
+        }
+        rebuild(&mut cell, j, d, m, r, now);
+        let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
+        self.leaders.push(Leader {
+            term,
+            cell,
+            renewed: now,
+            store: true,
+            cut,
+            writing: false,
+            waiting: vec![],
+        });
+    }
+
+    // ---- workers ----------------------------------------------------------------------------
+
+    fn report_of(&mut self, i: usize) -> Report {
+        let w = &mut self.workers[i];
+        w.tally += 1;
+        let parcels = w
+            .tasks
+            .iter()
+            .map(|(parcel, t)| Parcel {
+                parcel: parcel.clone(),
+                attempt: t.attempt,
+                status: if t.cause.is_some() { "ended" } else { "running" }.into(),
+                cause: t.cause.map(Into::into),
+                kept: false,
+            })
+            .collect();
+        Report {
+            hearth: w.name.clone(),
+            addr: i.to_string(),
+            berth: "m8".into(),
+            yard: w.zone.into(),
+            loaners: w.spot,
+            shift: w.shift,
+            tally: w.tally,
+            warrant: w.token,
+            recall_s: None,
+            parcels,
+        }
+    }
+
+    fn execute(&mut self, i: usize, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Run { parcel, attempt } => {
+                    let known = self.workers[i].tasks.get(&parcel);
+                    if known.is_some_and(|t| t.attempt == attempt) {
+                        continue;
+                    }
+                    assert!(known.is_none_or(|t| t.cause.is_some()), "busy: {parcel}");
+                    self.on_start(i, &parcel);
+                    let run = self.rng.random_range(2_000..25_000);
+                    let ends = self.now + run;
+                    let t = Task { attempt, ends, cause: None };
+                    self.workers[i].tasks.insert(parcel, t);
+                    self.check_quota();
+                }
+                Order::Halt { parcel, attempt, .. } => {
+                    let task = self.workers[i].tasks.get_mut(&parcel);
+                    if let Some(t) = task.filter(|t| t.attempt == attempt && t.cause.is_none()) {
+                        t.cause = Some("halted");
+                    }
+                }
+                Order::Forget { parcel, attempt } => {
+                    let w = &mut self.workers[i];
+                    if w.tasks.get(&parcel).is_some_and(|t| t.attempt == attempt) {
+                        w.tasks.remove(&parcel);
+                    }
+                }
+            }
+        }
+    }
+
+    fn on_start(&mut self, i: usize, parcel: &str) {
+        self.starts += 1;
+        let (uid, _) = parcel.split_once('/').expect("parcel");
+        let body = self.submitted.get(uid).expect("a job that was submitted");
+        for (k, w) in self.workers.iter().enumerate() {
+            let there = w.tasks.get(parcel).is_some_and(|t| t.cause.is_none());
+            assert!(!there, "ran_twice: {parcel} on {i} while on {k}");
+        }
+        let w = &self.workers[i];
+        assert!(body.loaners || !w.spot, "wrong_place: {parcel} on a spot machine");
+        assert!(body.yard.as_deref().is_none_or(|z| z == w.zone), "wrong_place: {parcel}");
+        if body.together {
+            let other = self.workers.iter().any(|o| {
+                o.zone != w.zone
+                    && o.tasks
+                        .iter()
+                        .any(|(p, t)| t.cause.is_none() && p.split('/').next() == Some(uid))
+            });
+            assert!(!other, "wrong_place: {parcel} in another zone than its mates");
+        }
+        self.check_cancelled();
+    }
+
+    fn check_quota(&self) {
+        for team in &self.settings.deployment.teams {
+            let used: f64 = self
+                .workers
+                .iter()
+                .flat_map(|w| w.tasks.iter())
+                .filter(|(_, t)| t.cause.is_none())
+                .filter_map(|(p, _)| self.submitted.get(p.split('/').next()?))
+                .filter(|b| b.owner == team.name)
+                .map(|b| b.cpus)
+                .sum();
+            assert!(used <= team.cpus_max + 1e-6, "quota: {} uses {used}", team.name);
+        }
+    }
+
+    fn check_cancelled(&self) {
+        let most = (self.settings.deployment.workers.cancel_s * 1000.0) as u64;
+        for w in &self.workers {
+            for (p, t) in w.tasks.iter().filter(|(_, t)| t.cause.is_none()) {
+                let uid = p.split('/').next().unwrap_or("");
+                let late = self.told_cancelled.get(uid).is_some_and(|at| self.now > at + most);
+                assert!(!late, "ran_cancelled: {p} try {}", t.attempt);
+            }
+        }
+    }
+
+    fn run_worker(&mut self, i: usize) {
+        let now = self.now;
+        let lease = (self.settings.deployment.workers.lease_s * 1000.0) as u64;
+        let w = &mut self.workers[i];
+        if now > w.answered + lease {
+            w.tasks.clear();
+            w.shift += 1;
+            w.answered = now;
+            w.flight = None;
+        }
+        if now < w.hangs_until {
+            return;
+        }
+        let due = |t: &Task| t.cause.is_none() && now >= t.ends;
+        let over: Vec<(String, u64)> =
+            w.tasks.iter().filter(|(_, t)| due(t)).map(|(p, t)| (p.clone(), t.attempt)).collect();
+        for (p, attempt) in over {
+            self.finish(i, &p, attempt);
+        }
+        let w = &mut self.workers[i];
+        if w.flight.is_some_and(|(_, sent)| now > sent + 4000) {
+            w.flight = None;
+            w.next_report = now + 1000;
+        }
+        if w.flight.is_none() && now >= w.next_report {
+            let live: Vec<u64> = self.leaders.iter().map(|l| l.term).collect();
+            if live.is_empty() {
+                return;
+            }
+            // Mostly the newest leader is found; now and then an old one.
+            let old = self.chance(0.2);
+            let pick = if old { self.rng.random_range(0..live.len()) } else { live.len() - 1 };
+            let report = self.report_of(i);
+            self.workers[i].flight = Some((report.tally, now));
+            if self.chance(0.05) {
+                self.post(Msg::Report(i, live[pick], report.clone()));
+            }
+            if !self.chance(0.03) {
+                self.post(Msg::Report(i, live[pick], report));
+            }
+        }
+    }
+
+    /// A task's time is up. A gang completes together, or not at all if a mate is missing.
+    fn finish(&mut self, i: usize, parcel: &str, attempt: u64) {
+        let (uid, task) = parcel.split_once('/').expect("parcel");
+        let body = &self.submitted[uid];
+        if body.shape != Shape::Gang {
+            let task = task.parse().expect("number");
+            self.finished.entry(uid.into()).or_default().insert(task);
+            self.workers[i].tasks.get_mut(parcel).expect("there").cause = Some("done");
+            return;
+        }
+        let mates: Vec<String> = (0..body.parcels).map(|t| format!("{uid}/{t}")).collect();
+        let (now, done) = (self.now, self.finished.contains_key(uid));
+        let runs = |w: &Worker, p: &String| {
+            let t = w.tasks.get(p);
+            w.hangs_until <= now && t.is_some_and(|t| t.attempt == attempt && t.cause.is_none())
+        };
+        let all = mates.iter().all(|p| self.workers.iter().any(|w| runs(w, p)));
+        if !all && !done {
+            self.workers[i].tasks.get_mut(parcel).expect("there").cause = Some("mates_gone");
+            return;
+        }
+        let tasks = 0..body.parcels as u32;
+        self.finished.entry(uid.into()).or_default().extend(tasks);
+        for w in &mut self.workers {
+            for p in &mates {
+                let t = w.tasks.get_mut(p);
+                if let Some(t) = t.filter(|t| t.attempt == attempt && t.cause.is_none()) {
+                    t.cause = Some("done");
+                }
+            }
+        }
+    }
+
+    // ---- leaders ----------------------------------------------------------------------------
+
+    fn lead(&self, l: &Leader) -> bool {
+        self.now < l.renewed + self.settings.tuning.leader_lease_ms
+    }
+
+    fn run_leaders(&mut self) {
+        let now = self.now;
+        let holding = self.settings.holding_ms();
+        let ttl = self.settings.tuning.leader_lease_ms;
+        if self.key.is_some_and(|(_, _, until)| now > until) {
+            self.key = None;
+        }
+        for k in 0..self.leaders.len() {
+            if self.leaders[k].store {
+                match &mut self.key {
+                    Some((term, _, until)) if *term == self.leaders[k].term => {
+                        *until = now + ttl;
+                        self.leaders[k].renewed = now;
+                    }
+                    // Its lease is gone: it learns so at once.
+                    _ => self.leaders[k].renewed = 0,
+                }
+            }
+        }
+        self.leaders.retain(|l| now <= l.renewed + holding && l.renewed > 0);
+        if self.key.is_none() && self.chance(0.3) {
+            self.elect();
+        }
+        for k in 0..self.leaders.len() {
+            let lead = self.lead(&self.leaders[k]);
+            let l = &mut self.leaders[k];
+            l.cell.expire(now);
+            l.cell.stir = true;
+            if lead {
+                l.cell.place(now);
+            }
+            let direct = std::mem::take(&mut l.cell.direct);
+            let (term, cut) = (l.term, l.cut.clone());
+            let batch = (l.store && !l.writing).then(|| l.cell.batch(16)).flatten();
+            for d in direct {
+                let i: usize = d.addr.parse().expect("address");
+                if !cut.contains(&i) && !self.chance(0.1) {
+                    self.post(Msg::Command(i, term, d.shift, d.orders));
+                }
+            }
+            if let Some(batch) = batch {
+                self.leaders[k].writing = true;
+                let lost = self.chance(0.05);
+                if lost {
+                    // No answer: perhaps never executed, perhaps much later.
+                    self.leaders[k].writing = false;
+                }
+                if !lost || self.chance(0.5) {
+                    self.post(Msg::Commit(term, batch, lost));
+                }
+            }
+            self.answer(k);
+            self.tell(k);
+        }
+    }
+
+    /// Sends the responses whose orders are safe.
+    fn answer(&mut self, k: usize) {
+        let lead = self.lead(&self.leaders[k]);
+        let now = self.now;
+        let l = &mut self.leaders[k];
+        let waiting = std::mem::take(&mut l.waiting);
+        let mut out = vec![];
+        for (i, at, tally) in waiting {
+            let Some(mid) = l.cell.by_name.get(&format!("n-{i:03}")).copied() else { continue };
+            if lead && !l.cell.orders_ready(mid) {
+                l.waiting.push((i, at, tally));
+            } else if let Some(o) = l.cell.orders(mid, at, now, lead) {
+                out.push(Msg::Response(i, o.warrant, at.0, tally, o.orders));
+            }
+        }
+        for msg in out {
+            self.post(msg);
+        }
+    }
+
+    /// What users are told; each answer must fit all earlier ones.
+    fn tell(&mut self, k: usize) {
+        if !self.lead(&self.leaders[k]) {
+            return;
+        }
+        let now = self.now;
+        for (uid, body) in &self.submitted {
+            let cell = &self.leaders[k].cell;
+            let Some(shown) = cell.show(uid) else {
+                let final_on_record = self.store.contains_key(&format!("f/{uid}"));
+                let known = cell.by_uid.contains_key(uid.as_str()) || final_on_record;
+                assert!(known || !self.accepted.contains(uid), "forgotten: {uid}");
+                continue;
+            };
+            self.accepted.insert(uid.clone());
+            match shown.status.as_str() {
+                "aborted" => {
+                    assert!(!self.told_done.contains(uid), "went_back: {uid}");
+                    self.told_cancelled.entry(uid.clone()).or_insert(now);
+                }
+                "done" => {
+                    assert!(!self.told_cancelled.contains_key(uid), "went_back: {uid}");
+                    let done = self.finished.get(uid).map_or(0, BTreeSet::len);
+                    assert_eq!(done as u64, body.parcels, "not_done: {uid}");
+                    self.told_done.insert(uid.clone());
+                }
+                _ => {
+                    let over =
+                        self.told_done.contains(uid) || self.told_cancelled.contains_key(uid);
+                    assert!(!over, "went_back: {uid} is {}", shown.status);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, msg: Msg) {
+        let now = self.now;
+        match msg {
+            Msg::Report(i, term, report) => {
+                let lead = |l: &Leader| now < l.renewed + 2500;
+                let Some(l) = self.leaders.iter_mut().find(|l| l.term == term) else { return };
+                if l.cut.contains(&i) {
+                    return;
+                }
+                let lead = lead(l);
+                match l.cell.on_report(&report, now) {
+                    Taken::Answer(_) => {
+                        if lead {
+                            l.cell.place(now);
+                        }
+                        l.waiting.push((i, (report.shift, report.tally), report.tally));
+                    }
+                    Taken::NewerTerm(_) => l.renewed = 0,
+                    _ => {}
+                }
+            }
+            Msg::Response(i, warrant, shift, tally, orders) => {
+                let w = &mut self.workers[i];
+                let Some((flight, sent)) = w.flight else { return };
+                let stale = flight != tally || w.shift != shift || now > sent + 4000;
+                if stale || now < w.hangs_until {
+                    return;
+                }
+                w.flight = None;
+                w.next_report = now + 500;
+                if warrant < w.token {
+                    return;
+                }
+                w.token = warrant;
+                w.answered = sent;
+                self.execute(i, orders);
+            }
+            Msg::Command(i, warrant, shift, orders) => {
+                if now < self.workers[i].hangs_until {
+                    let at = self.workers[i].hangs_until;
+                    self.mail.push((at, Msg::Command(i, warrant, shift, orders)));
+                    return;
+                }
+                let w = &mut self.workers[i];
+                w.tally += 1;
+                if warrant >= w.token && shift == w.shift {
+                    w.token = warrant;
+                    self.execute(i, orders);
+                }
+            }
+            Msg::Commit(term, batch, lost) => {
+                let outcome = self.apply(&batch);
+                let stamps: BTreeMap<String, Option<u64>> = match &outcome {
+                    Err(keys) => keys
+                        .iter()
+                        .map(|k| (k.clone(), self.store.get(k).map(|(_, s)| *s)))
+                        .collect(),
+                    Ok(_) => BTreeMap::new(),
+                };
+                if lost {
+                    return;
+                }
+                let Some(l) = self.leaders.iter_mut().find(|l| l.term == term) else { return };
+                l.writing = false;
+                match outcome {
+                    Ok(rev) => l.cell.applied(&batch, rev),
+                    Err(keys) if keys.iter().any(|k| k == "c/leader") => l.renewed = 0,
+                    Err(_) => {
+                        for (key, stamp) in stamps {
+                            match stamp {
+                                Some(s) => l.cell.stamps.insert(key, s),
+                                None => l.cell.stamps.remove(&key),
+                            };
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    // ---- users and troubles -----------------------------------------------------------------
+
+    fn users(&mut self) {
+        let now = self.now;
+        let Some(k) = self.leaders.iter().rposition(|l| now < l.renewed + 2500) else { return };
+        if self.chance(0.02) && self.submitted.len() < 25 {
+            let n = self.submitted.len();
+            let gang = self.chance(0.25);
+            let red = self.chance(0.6);
+            let body = JobBody {
+                uid: format!("wk-{n:06}"),
+                lot: "c".into(),
+                owner: if red { "red" } else { "blue" }.into(),
+                shape: if gang { Shape::Gang } else { Shape::Array },
+                precedence: if gang { Precedence::High } else { Precedence::Low },
+                parcels: if gang { 2 } else { self.rng.random_range(1..12) },
+                cpus: if gang { 4.0 } else { self.rng.random_range(1..4) as f64 },
+                cards: 0.0,
+                mem_gb: 2.0,
+                cargo: "i".into(),
+                pull_gb: 1.0,
+                berths: None,
+                yard: self.chance(0.1).then(|| "s".into()),
+                together: gang && self.chance(0.5),
+                spread: false,
+                loaners: self.chance(0.7),
+                expected_s: 10.0,
+                stamp_every_s: 0.0,
+                stamp_s: 0.0,
+                due_s: None,
+            };
+            let cell = &mut self.leaders[k].cell;
+            let (settings, flavors) = (cell.settings.clone(), cell.flavors.clone());
+            let spec = jobs::admit_shape(&body, &mut cell.names, &flavors, &settings);
+            let id = cell.insert_job(spec.expect("valid"), body.clone(), now, now as i64);
+            let ver = cell.touch(Key::Job(id));
+            if let Some(job) = cell.jobs.get_mut(&id) {
+                job.accept_ver = ver;
+            }
+            self.submitted.insert(body.uid.clone(), body);
+        }
+        if self.chance(0.008) && !self.submitted.is_empty() {
+            let n = self.rng.random_range(0..self.submitted.len());
+            let uid = format!("wk-{n:06}");
+            let cell = &mut self.leaders[k].cell;
+            if let Some(id) = cell.by_uid.get(uid.as_str()).copied() {
+                cell.cancel(id, now);
+            }
+        }
+    }
+
+    fn troubles(&mut self) {
+        let now = self.now;
+        if self.chance(0.004) {
+            self.leaders.pop();
+        }
+        if self.chance(0.004)
+            && let Some(l) = self.leaders.last_mut()
+        {
+            l.store = false;
+        }
+        if self.chance(0.02)
+            && let Some(l) = self.leaders.first_mut()
+        {
+            l.store = true;
+        }
+        if self.chance(0.01) {
+            let i = self.rng.random_range(0..self.workers.len());
+            if let Some(l) = self.leaders.last_mut()
+                && !l.cut.remove(&i)
+            {
+                l.cut.insert(i);
+            }
+        }
+        if self.chance(0.004) {
+            let i = self.rng.random_range(0..self.workers.len());
+            self.workers[i].hangs_until = now + self.rng.random_range(1_000..25_000);
+        }
+    }
+
+    fn play(&mut self, steps: usize) {
+        for _ in 0..steps {
+            self.now += STEP;
+            self.troubles();
+            self.users();
+            let now = self.now;
+            let (due, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut self.mail).into_iter().partition(|(at, _)| *at <= now);
+            self.mail = later;
+            for (_, msg) in due {
+                self.deliver(msg);
+            }
+            for i in 0..self.workers.len() {
+                self.run_worker(i);
+            }
+            self.run_leaders();
+            self.check_cancelled();
+        }
+    }
+}
+
+#[test]
+fn rules_hold_under_random_failures() {
+    let mut starts = 0;
+    let mut done = 0;
+    let mut cancelled = 0;
+    for seed in 0..60 {
+        let mut world = World::new(seed);
+        let play = std::panic::AssertUnwindSafe(|| world.play(3000));
+        if let Err(cause) = std::panic::catch_unwind(play) {
+            eprintln!("seed {seed} breaks a rule at {} ms", world.now);
+            std::panic::resume_unwind(cause);
+        }
+        starts += world.starts;
+        done += world.told_done.len();
+        cancelled += world.told_cancelled.len();
+    }
+    // The schedules must leave something to break.
+    assert!(starts > 2000 && done > 300 && cancelled > 60, "{starts} {done} {cancelled}");
+}
