--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,3 +15,6 @@
 pub mod settings;
 pub mod store;
 pub mod workers;
+
+#[cfg(test)]
+mod safety_tests;
--- /dev/null
+++ b/src/safety_tests.rs
@@ -0,0 +1,356 @@
+//! Tables of the cases on which safety rests, played on one leader's cell with stand-ins for
+//! worker and store. The random schedules in `tests/failures.rs` cover their combinations.
+
+use crate::cell::{Cell, Key, Names};
+use crate::jobs::{JobBody, Shape, admit_shape};
+use crate::leadership::rebuild;
+use crate::names::*;
+use crate::store::{Change, Cond, JobRecord, MachineRecord, OnRecord, Record};
+use crate::workers::{Order, Parcel, Report, Taken};
+use std::sync::Arc;
+
+const TERM: u64 = 7;
+const T0: u64 = 100_000;
+
+fn cell() -> Cell {
+    let settings = Arc::new(crate::settings::tests::sample());
+    let mut names = Names::new(&settings);
+    let flavors = crate::fleet::tests::flavors(&mut names);
+    let leader = Cond { path: "c/leader".into(), stamp: 50 };
+    Cell::new(settings, TERM, leader, T0, names, flavors)
+}
+
+fn add_job(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
+    let mut body = crate::jobs::tests::body(uid);
+    edit(&mut body);
+    let settings = c.settings.clone();
+    let flavors = c.flavors.clone();
+    let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
+    let id = c.insert_job(spec, body, T0, T0 as i64);
+    let ver = c.touch(Key::Job(id));
+    c.jobs.get_mut(&id).expect("there").accept_ver = ver;
+    id
+}
+
+/// Everything dirty is recorded.
+fn commit(c: &mut Cell) -> Vec<Change> {
+    let mut out = vec![];
+    let mut rev = 1000;
+    while let Some(batch) = c.batch(16) {
+        assert_eq!(batch.when[0], c.leader, "every transaction is conditional on the leader key");
+        rev += 1;
+        c.applied(&batch, rev);
+        out.extend(batch.apply);
+    }
+    out
+}
+
+fn report(shift: u64, tally: u64, warrant: u64, parcels: &[(&str, u64, &str)]) -> Report {
+    let parcels = parcels
+        .iter()
+        .map(|(p, attempt, status)| {
+            let (status, cause) = status.split_once(':').unwrap_or((status, ""));
+            Parcel {
+                parcel: (*p).into(),
+                attempt: *attempt,
+                status: status.into(),
+                cause: (!cause.is_empty()).then(|| cause.into()),
+                kept: false,
+            }
+        })
+        .collect();
+    Report {
+        hearth: "n-1".into(),
+        addr: "127.0.0.1:9".into(),
+        berth: "small".into(),
+        yard: "north".into(),
+        loaners: false,
+        shift,
+        tally,
+        warrant,
+        recall_s: None,
+        parcels,
+    }
+}
+
+/// Takes a report in, places, records, and returns the orders of its response.
+fn exchange(c: &mut Cell, r: &Report, now: u64) -> Vec<Order> {
+    let Taken::Answer(mid) = c.on_report(r, now) else { panic!("not answered") };
+    c.place(now);
+    commit(c);
+    c.check();
+    c.orders(mid, (r.shift, r.tally), now, true).expect("orders").orders
+}
+
+fn runs(orders: &[Order]) -> Vec<(String, u64)> {
+    let run = |o: &Order| match o {
+        Order::Run { parcel, attempt } => Some((parcel.clone(), *attempt)),
+        _ => None,
+    };
+    orders.iter().filter_map(run).collect()
+}
+
+/// One task, accepted, placed on n-1 and told to run in the response to report 2.
+fn started() -> (Cell, JobId, MachineId, u64) {
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
+    commit(&mut c);
+    // The first report shows an older term: nothing is started on its word.
+    assert!(runs(&exchange(&mut c, &report(1, 1, 0, &[]), T0)).is_empty());
+    let got = runs(&exchange(&mut c, &report(1, 2, TERM, &[]), T0 + 500));
+    assert_eq!(got.len(), 1);
+    let mid = c.by_name["n-1"];
+    (c, id, mid, got[0].1)
+}
+
+fn may_be_there(c: &Cell, mid: MachineId, id: JobId) -> bool {
+    c.machines[&mid].entries.contains_key(&(id, 0))
+}
+
+#[test]
+fn nothing_is_sent_before_it_is_recorded() {
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
+    c.on_report(&report(1, 1, TERM, &[]), T0);
+    c.place(T0);
+    assert!(c.jobs[&id].waiting.contains(&0), "an unrecorded job is not placed");
+    assert!(c.show("wk-1").is_none(), "nor is it called accepted");
+    commit(&mut c);
+    c.place(T0);
+    let mid = c.by_name["n-1"];
+    assert!(!c.orders_ready(mid));
+    let orders = c.orders(mid, (1, 1), T0, true).expect("orders").orders;
+    assert!(runs(&orders).is_empty(), "the list that holds it is not recorded yet");
+    commit(&mut c);
+    assert!(c.orders_ready(mid));
+    // Out of authority nothing is started, though the lease is renewed.
+    assert!(runs(&c.orders(mid, (1, 1), T0, false).expect("orders").orders).is_empty());
+    assert_eq!(runs(&c.orders(mid, (1, 1), T0, true).expect("orders").orders).len(), 1);
+}
+
+#[test]
+fn what_proves_that_a_task_is_gone() {
+    type Case = (&'static str, Report, bool);
+    let (_, _, _, a) = started();
+    let cases: [Case; 6] = [
+        // A response may be lost: the same `run` is sent again, the task stays on the list.
+        ("not listed yet", report(1, 3, TERM, &[]), true),
+        // Late and reordered reports say nothing.
+        ("late report", report(1, 1, TERM, &[]), true),
+        ("listed", report(1, 3, TERM, &[("wk-1/0", a, "running")]), true),
+        // A new session has killed and forgotten all tasks.
+        ("new session", report(2, 3, TERM, &[]), false),
+        ("exited", report(1, 3, TERM, &[("wk-1/0", a, "ended:error")]), false),
+        // An exit of another attempt is not this one's.
+        ("another attempt", report(1, 3, TERM, &[("wk-1/0", a - 1, "ended:error")]), true),
+    ];
+    for (name, r, there) in cases {
+        let (mut c, id, mid, attempt) = started();
+        assert_eq!(attempt, a);
+        c.on_report(&r, T0 + 1000);
+        assert_eq!(may_be_there(&c, mid, id), there, "{name}");
+        c.check();
+    }
+}
+
+#[test]
+fn a_lost_run_is_repeated_with_its_attempt_and_a_new_start_has_a_new_one() {
+    let (mut c, _, _, a) = started();
+    assert_eq!(
+        runs(&exchange(&mut c, &report(1, 3, TERM, &[]), T0 + 1000)),
+        [("wk-1/0".into(), a)]
+    );
+    let again = runs(&exchange(&mut c, &report(2, 4, TERM, &[]), T0 + 2000));
+    assert!(again.len() == 1 && again[0].1 > a, "{again:?}");
+}
+
+#[test]
+fn an_older_term_proves_nothing_and_a_newer_one_ends_this() {
+    let (mut c, id, mid, a) = started();
+    c.on_report(&report(1, 3, TERM, &[("wk-1/0", a, "running")]), T0 + 1000);
+    c.on_report(&report(1, 4, TERM - 1, &[]), T0 + 1500);
+    assert!(may_be_there(&c, mid, id));
+    assert_eq!(c.on_report(&report(1, 5, TERM + 1, &[]), T0), Taken::NewerTerm(TERM + 1));
+}
+
+#[test]
+fn a_worker_lease_is_over_only_for_certain() {
+    let (mut c, id, mid, _) = started();
+    let lease = 10_000;
+    let answered = T0 + 500;
+    for (after, over) in [(lease, false), (lease + 20, false), (lease + 200, true)] {
+        // Clocks may drift: the bare lease is not enough.
+        assert_eq!(c.expire(answered + after).contains(&mid), over, "{after}");
+    }
+    assert!(!may_be_there(&c, mid, id) && c.jobs[&id].waiting.contains(&0));
+}
+
+#[test]
+fn after_a_takeover_unheard_machines_hold_their_tasks_for_an_isolated_leader() {
+    let mut c = cell();
+    let job = JobRecord { job: crate::jobs::tests::body("wk-1"), at: T0, cancelled: false };
+    let machine = MachineRecord {
+        addr: "127.0.0.1:9".into(),
+        berth: "small".into(),
+        yard: "north".into(),
+        spot: false,
+        shift: 1,
+        on: vec![OnRecord { j: "wk-1".into(), t: 5, r: vec![0, 2] }],
+    };
+    let machines = vec![("m/n-1".to_string(), machine, 3)];
+    rebuild(&mut c, vec![("j/wk-1".into(), job, 2)], vec![], machines, vec![], T0);
+    let (id, mid) = (c.by_uid["wk-1"], c.by_name["n-1"]);
+    assert_eq!(c.jobs[&id].waiting.len(), 1, "two of three may be on the machine");
+    assert_eq!(c.usage[0].cpus, 2.0, "and count against the limit");
+    assert_eq!(c.direct.len(), 1, "the machine is sent the new term");
+    let bound = c.settings.holding_ms() + c.settings.lease_ms();
+    assert!(c.expire(T0 + bound - 100).is_empty());
+    assert_eq!(c.expire(T0 + bound + 100), [mid]);
+    c.check();
+}
+
+#[test]
+fn finished_is_recorded_before_it_is_said_or_forgotten() {
+    let (mut c, id, mid, a) = started();
+    c.on_report(&report(1, 3, TERM, &[("wk-1/0", a, "running")]), T0 + 1000);
+    c.on_report(&report(1, 4, TERM, &[("wk-1/0", a, "ended:done")]), T0 + 9000);
+    assert_eq!(c.show("wk-1").expect("known").status, "running");
+    assert!(c.orders(mid, (1, 4), T0 + 9000, true).expect("orders").orders.is_empty());
+    // The machine dies right then: the task is done all the same, and not started again.
+    c.remove_machine(mid);
+    assert!(c.jobs[&id].waiting.is_empty());
+    let changes = commit(&mut c);
+    assert!(changes.iter().any(|x| x.path() == "f/wk-1"));
+    assert_eq!(c.show("wk-1").expect("known").status, "done");
+}
+
+#[test]
+fn a_cancel_that_races_a_start() {
+    // Cancelled between recording the list and sending the run: it is not sent any more.
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
+    commit(&mut c);
+    c.on_report(&report(1, 1, TERM, &[]), T0);
+    c.place(T0);
+    commit(&mut c);
+    c.cancel(id, T0);
+    assert_ne!(c.show("wk-1").expect("known").status, "aborted", "not before it is recorded");
+    let mid = c.by_name["n-1"];
+    assert!(runs(&c.orders(mid, (1, 1), T0, true).expect("orders").orders).is_empty());
+    commit(&mut c);
+    assert_eq!(c.show("wk-1").expect("known").status, "aborted");
+    // Cancelled after the run was sent: halted directly and with every response until it is gone,
+    // and the record that counts it stays open until then.
+    let (mut c, id, mid, a) = started();
+    c.cancel(id, T0 + 600);
+    assert_eq!(c.direct.len(), 1);
+    let changes = commit(&mut c);
+    let open = |x: &Change| matches!(x, Change::Put { v: Record::Job(j), .. } if j.cancelled);
+    assert!(changes.iter().any(open));
+    let r = report(1, 3, TERM, &[("wk-1/0", a, "running")]);
+    let orders = exchange(&mut c, &r, T0 + 1000);
+    assert!(matches!(orders[..], [Order::Halt { .. }]), "{orders:?}");
+    c.on_report(&report(1, 4, TERM, &[("wk-1/0", a, "ended:done")]), T0 + 2000);
+    assert!(!may_be_there(&c, mid, id));
+    commit(&mut c);
+    // A cancelled job stays cancelled, whatever its tasks did.
+    assert_eq!(c.show("wk-1").expect("known").status, "aborted");
+}
+
+#[test]
+fn an_unknown_outcome_keeps_its_keys_and_versions() {
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |_| ());
+    let lost = c.batch(16).expect("a batch");
+    // Nobody answered. The next transaction holds the same key under the same condition, so that
+    // at most one of the two can ever be applied.
+    let next = c.batch(16).expect("the same again");
+    assert_eq!(lost.when, next.when);
+    assert!(c.show("wk-1").is_none());
+    // The lost one was applied after all: its version is read back, and the write repeated.
+    c.stamps.insert("j/wk-1".into(), 77);
+    let again = c.batch(16).expect("again");
+    assert!(again.when.contains(&Cond { path: "j/wk-1".into(), stamp: 77 }));
+    c.applied(&again, 78);
+    assert!(c.accepted(id, &c.jobs[&id]));
+}
+
+#[test]
+fn the_team_limit_counts_what_may_be_there() {
+    let mut c = cell();
+    add_job(&mut c, "wk-1", |b| (b.owner, b.parcels, b.cpus) = ("blue".into(), 20, 4.0));
+    commit(&mut c);
+    for n in 0..12 {
+        let mut r = report(1, 1, TERM, &[]);
+        r.hearth = format!("n-{n}");
+        c.on_report(&r, T0);
+    }
+    c.place(T0);
+    c.check();
+    assert_eq!(c.usage[1].cpus, 32.0, "the limit of blue, though there is room for 48");
+}
+
+#[test]
+fn gangs_are_placed_whole_and_replaced_with_their_attempt() {
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| {
+        (b.shape, b.parcels, b.cpus, b.together) = (Shape::Gang, 3, 4.0, true);
+    });
+    commit(&mut c);
+    let at = |n: usize, zone: &str, tally| {
+        let mut r = report(1, tally, TERM, &[]);
+        (r.hearth, r.yard) = (format!("n-{n}"), zone.into());
+        r
+    };
+    for (n, zone) in [(1, "north"), (2, "north"), (3, "south")] {
+        c.on_report(&at(n, zone, 1), T0);
+    }
+    c.place(T0);
+    assert_eq!(c.jobs[&id].waiting.len(), 3, "no zone has room for all three");
+    c.on_report(&at(4, "north", 1), T0);
+    c.place(T0);
+    assert_eq!(c.jobs[&id].in_zone, [3, 0]);
+    let attempt = c.jobs[&id].attempt;
+    // One machine goes before the gang has started: its replacement has the same attempt.
+    c.remove_machine(c.by_name["n-2"]);
+    c.on_report(&at(5, "north", 1), T0);
+    c.place(T0);
+    let m = &c.machines[&c.by_name["n-5"]];
+    assert!(m.entries.values().all(|e| e.attempt == attempt) && m.entries.len() == 1);
+    c.check();
+}
+
+#[test]
+fn a_poisoned_machine_is_told_from_a_job_with_a_mistake() {
+    // Two jobs fail on one machine: the machine is set aside.
+    let mut c = cell();
+    add_job(&mut c, "wk-1", |b| b.parcels = 1);
+    add_job(&mut c, "wk-2", |b| b.parcels = 1);
+    commit(&mut c);
+    exchange(&mut c, &report(1, 1, TERM, &[]), T0);
+    let tries: Vec<(String, u64)> = c.machines[&c.by_name["n-1"]]
+        .entries
+        .iter()
+        .map(|((id, t), e)| (c.parcel(*id, *t), e.attempt))
+        .collect();
+    let ended: Vec<(&str, u64, &str)> =
+        tries.iter().map(|(p, a)| (p.as_str(), *a, "ended:error")).collect();
+    c.on_report(&report(1, 2, TERM, &ended), T0 + 500);
+    assert!(c.machines[&c.by_name["n-1"]].faulty);
+    // One job fails on two machines: it pauses, and the second machine is not to blame.
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
+    commit(&mut c);
+    let mut now = T0;
+    for n in 1..=2 {
+        let mut r = report(1, 1, TERM, &[]);
+        r.hearth = format!("n-{n}");
+        let got = runs(&exchange(&mut c, &r, now));
+        let mut r = report(1, 2, TERM, &[("wk-1/0", got[0].1, "ended:error")]);
+        r.hearth = format!("n-{n}");
+        now += 1000;
+        c.on_report(&r, now);
+    }
+    assert!(c.machines.values().all(|m| !m.faulty));
+    assert!(c.jobs[&id].retry_at > now);
+}
