--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -121,6 +121,11 @@
         self.booting.remove(name).map(|b| b.since)
     }
 
+    /// Has the cloud confirmed that this machine is gone? Names are never used again.
+    pub fn is_gone(&self, name: &str) -> bool {
+        self.gone.contains(name)
+    }
+
     fn paused(&self, what: &Kind, now: u64) -> bool {
         self.pauses.get(what).is_some_and(|(until, _)| now < *until)
     }
@@ -177,6 +182,21 @@
         (f64::from(waiting) / rounds).ceil() as u32
     }
 
+    /// Zones from which nothing is heard though machines are up there: what is rented in them now
+    /// could not be used.
+    fn dark_zones(&self, now: u64) -> Vec<bool> {
+        let silence = self.silence();
+        let mut heard = vec![(0, 0); self.names.zones.len()];
+        for m in self.machines.values().filter(|m| m.heard > 0) {
+            let z = &mut heard[m.zone.ix()];
+            z.0 += 1;
+            z.1 += u32::from(now < m.heard + silence);
+        }
+        let dark: Vec<bool> = heard.iter().map(|(up, well)| *up >= 2 && *well == 0).collect();
+        // With all of them dark the fault is on this side.
+        if dark.iter().all(|d| *d) { vec![false; dark.len()] } else { dark }
+    }
+
     /// What to rent now: the work that waits is laid onto free and booting machines in the order
     /// in which it is served; what finds no place is given the cheapest machines that fit it.
     pub fn demand(&self, now: u64) -> Vec<(Kind, u32)> {
@@ -226,6 +246,7 @@
                 slots.push(fresh(r.what, u32::MAX));
             }
         }
+        let dark = self.dark_zones(now);
         let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
         let mut used = self.usage.clone();
         for r in self.ranked(now) {
@@ -272,7 +293,7 @@
             for kind in &spec.types {
                 let f = &self.flavors[kind.ix()];
                 for zone in &f.zones {
-                    if spec.zone.is_some_and(|z| z != *zone) {
+                    if spec.zone.is_some_and(|z| z != *zone) || dark[zone.ix()] {
                         continue;
                     }
                     for spot in [true, false] {
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -354,3 +354,23 @@
     assert!(c.machines.values().all(|m| !m.faulty));
     assert!(c.jobs[&id].retry_at > now);
 }
+
+#[test]
+fn held_reports_of_machines_that_are_gone_hold_nothing_up() {
+    // Found on a recorded day: reports held for a minute came in after their machines had been
+    // given back, and what they listed kept the tasks from being started elsewhere.
+    let (mut c, id, mid, a) = started();
+    c.expire(T0 + 60_000);
+    c.plan_returns(T0 + 60_000);
+    c.returned(&["n-1".to_string()]);
+    let late = report(1, 3, TERM, &[("wk-1/0", a, "running")]);
+    assert_eq!(c.on_report(&late, T0 + 61_000), Taken::Stale);
+    assert!(!c.machines.contains_key(&mid) && c.jobs[&id].waiting.contains(&0));
+    // The next leader doesn't know that the machine is gone, but no record lists the task.
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
+    commit(&mut c);
+    let late = report(1, 3, TERM - 1, &[("wk-1/0", a, "running")]);
+    assert!(matches!(exchange(&mut c, &late, T0)[..], [Order::Halt { .. }]));
+    assert!(c.jobs[&id].waiting.contains(&0));
+}
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -283,6 +283,11 @@
         if r.warrant > self.term {
             return Taken::NewerTerm(r.warrant);
         }
+        if self.fleet.is_gone(&r.hearth) {
+            // A report held back by the network, from a machine that the cloud has since confirmed
+            // as gone: what it lists is nowhere any more.
+            return Taken::Stale;
+        }
         let mid = match self.by_name.get(&r.hearth) {
             Some(mid) => *mid,
             None => {
@@ -348,6 +353,10 @@
                 "saving" => Seen::Saving,
                 _ => Seen::Running,
             };
+            // What an older term's report lists without a record is as old as that report, and no
+            // proof that the task is still there; it is halted, but holds nothing up.
+            let known = known
+                .filter(|id| of_term || self.machines[&mid].entries.contains_key(&(*id, task)));
             match known {
                 Some(id) => {
                     listed.insert((id, task));
