A team's low work makes way for its high work at the team's limit; cheap machines first

Ruled out: no room (two big machines idle), failures. While tasks leave, what gets free of the limit is kept for the render.

--- a/src/cell.rs
+++ b/src/cell.rs
@@ -77,6 +77,8 @@
     pub machines: BTreeMap<MachineId, Machine>,
     pub by_name: HashMap<String, MachineId>,
     pub usage: Vec<Usage>,
+    /// In one placement pass: what of a team's limit is kept for a job served earlier.
+    pub held: Vec<Usage>,
     pub finals: HashMap<Arc<str>, FinalRecord>,
     final_order: VecDeque<Arc<str>>,
     pub dirty: BTreeMap<Key, u64>,
@@ -109,6 +111,7 @@
         let pools = names.zones.len() * flavors.len();
         Cell {
             usage: vec![Usage::default(); settings.deployment.teams.len()],
+            held: vec![Usage::default(); settings.deployment.teams.len()],
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
             settings,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: what to rent for the work that waits, what to give back, and the cloud's protocol.
 
-use crate::cell::{Cell, Key, Names};
+use crate::cell::{Cell, Key, Names, Usage};
 use crate::http::{CallError, Client};
 use crate::jobs::{EPS, Shape, Spec};
 use crate::names::*;
@@ -62,7 +62,7 @@
         }
     }
 
-    fn price(&self, spot: bool) -> f64 {
+    pub fn price(&self, spot: bool) -> f64 {
         if spot { self.spot_hourly } else { self.hourly }
     }
 }
@@ -248,7 +248,16 @@
         }
         let dark = self.dark_zones(now);
         let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
-        let mut used = self.usage.clone();
+        // By priority: a team's lower work makes way for its higher.
+        let mut used = vec![[Usage::default(); 4]; self.usage.len()];
+        for m in self.machines.values() {
+            for (id, _) in m.entries.keys() {
+                let Some(job) = self.jobs.get(id) else { continue };
+                let u = &mut used[job.spec.team.ix()][job.spec.precedence as usize];
+                u.cpus += job.spec.cpus;
+                u.cards += job.spec.cards;
+            }
+        }
         for r in self.ranked(now) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let spec = &job.spec;
@@ -259,17 +268,18 @@
             let room = |max: f64, used: f64, need: f64| {
                 if need <= 0.0 { 1e6 } else { ((max - used + EPS) / need).floor().max(0.0) }
             };
-            let u = &mut used[spec.team.ix()];
-            let quota = room(team.cpus_max, u.cpus, spec.cpus).min(room(
-                team.gpus_max,
-                u.cards,
-                spec.cards,
-            )) as u32;
+            let above = &mut used[spec.team.ix()][..=spec.precedence as usize];
+            let cpus = above.iter().map(|u| u.cpus).sum();
+            let cards = above.iter().map(|u| u.cards).sum();
+            let quota =
+                room(team.cpus_max, cpus, spec.cpus).min(room(team.gpus_max, cards, spec.cards))
+                    as u32;
             let waiting = job.waiting.len() as u32;
             let mut n = self.wanted(spec, waiting, r.guaranteed).min(quota);
             if spec.shape == Shape::Gang && n < waiting {
                 continue;
             }
+            let u = &mut above[spec.precedence as usize];
             u.cpus += spec.cpus * f64::from(n);
             u.cards += spec.cards * f64::from(n);
             let tight = |s: &Slot| (s.cpus * 1000.0) as i64;
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: in which order jobs are served, which machine a task gets, room kept for gangs,
 //! and who has to make room for whom.
 
-use crate::cell::Cell;
+use crate::cell::{Cell, Usage};
 use crate::jobs::{EPS, Job, Precedence, Shape, Spec, Wait};
 use crate::names::*;
 use crate::workers::Seen;
@@ -117,7 +117,9 @@
     /// How many more tasks of this shape the team's limit allows.
     pub fn team_room(&self, spec: &Spec) -> u32 {
         let team = &self.settings.deployment.teams[spec.team.ix()];
-        let used = self.usage[spec.team.ix()];
+        let (mut used, held) = (self.usage[spec.team.ix()], self.held[spec.team.ix()]);
+        used.cpus += held.cpus;
+        used.cards += held.cards;
         let part = |max: f64, used: f64, need: f64| {
             if need <= 0.0 { 1e6 } else { ((max - used + EPS) / need).floor().clamp(0.0, 1e6) }
         };
@@ -145,6 +147,7 @@
     /// One pass: every waiting task that can be placed is put on a machine's list.
     pub fn place(&mut self, now: u64) {
         self.stir = false;
+        self.held.fill(Usage::default());
         let ranked = self.ranked(now);
         let mut slots = self.slots(now);
         let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
@@ -169,14 +172,25 @@
             };
             let Some(job) = self.jobs.get_mut(&r.id) else { continue };
             job.wait = wait;
+            if wait == Wait::TeamLimit {
+                if self.make_team_room(r.id, &spec, now)
+                    && let Some(job) = self.jobs.get_mut(&r.id)
+                {
+                    job.wait = Wait::Stopping;
+                }
+                continue;
+            }
             if wait == Wait::NoRoom {
                 if job.ready_at == 0 {
                     job.ready_at = now;
                 }
-                if self.make_room(*r, &spec, &mut slots, &within, now)
-                    && let Some(job) = self.jobs.get_mut(&r.id)
-                {
-                    job.wait = Wait::Stopping;
+                if self.make_room(*r, &spec, &mut slots, &within, now) {
+                    if spec.shape != Shape::Array {
+                        self.hold_limit(r.id, &spec);
+                    }
+                    if let Some(job) = self.jobs.get_mut(&r.id) {
+                        job.wait = Wait::Stopping;
+                    }
                 }
             } else if let Some(job) = self.jobs.get_mut(&r.id) {
                 job.ready_at = 0;
@@ -208,7 +222,7 @@
     fn candidates(&self, id: JobId, spec: &Spec, slots: &[Slot]) -> Vec<usize> {
         let Some(job) = self.jobs.get(&id) else { return vec![] };
         let sound = self.machines.len() > job.failed_on.len();
-        let mut out: Vec<(bool, bool, bool, i64, usize)> = slots
+        let mut out: Vec<(bool, bool, i64, i64, usize)> = slots
             .iter()
             .enumerate()
             .filter(|(_, s)| s.allowed(spec) && s.reserved.is_none_or(|r| r == id))
@@ -218,7 +232,10 @@
                 let pool = self.pool(s.zone, s.kind);
                 let routed = job.routed.get(pool).is_some_and(|r| *r > 0);
                 let image = s.images.contains(&spec.image);
-                (!image, !routed, !(s.spot && spec.spot), (s.cpus * 1000.0) as i64, i)
+                // The cheapest first, so that dear machines get free and can be given back.
+                let f = &self.flavors[s.kind.ix()];
+                let price = (f.price(s.spot) * self.share(spec, s.kind) * 1e6) as i64;
+                (!image, !routed, price, (s.cpus * 1000.0) as i64, i)
             })
             .collect();
         out.sort_unstable();
@@ -381,6 +398,75 @@
         None
     }
 
+    /// Keeps so much of the team's limit for this job that those served after it don't take what
+    /// gets free.
+    fn hold_limit(&mut self, id: JobId, spec: &Spec) {
+        let n = self.jobs.get(&id).map_or(0.0, |j| j.waiting.len() as f64);
+        let n = if spec.shape == Shape::Array { n.min(1.0) } else { n };
+        let held = &mut self.held[spec.team.ix()];
+        held.cpus += spec.cpus * n;
+        held.cards += spec.cards * n;
+    }
+
+    /// A job that waits for its own team's limit has the team's work of lower priority stopped,
+    /// the cheapest first. Returns whether it now waits for tasks that are being stopped.
+    fn make_team_room(&mut self, id: JobId, spec: &Spec, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let team = &self.settings.deployment.teams[spec.team.ix()];
+        let n = if spec.shape == Shape::Array { 1.0 } else { job.waiting.len() as f64 };
+        let (used, held) = (self.usage[spec.team.ix()], self.held[spec.team.ix()]);
+        let mut cpus = used.cpus + held.cpus + spec.cpus * n - team.cpus_max;
+        let mut cards = used.cards + held.cards + spec.cards * n - team.gpus_max;
+        let mut victims: Vec<(f64, MachineId, JobId, u32)> = Vec::new();
+        for (mid, m) in &self.machines {
+            for ((vid, task), e) in &m.entries {
+                let Some(v) = self.jobs.get(vid) else { continue };
+                if v.spec.team != spec.team {
+                    continue;
+                }
+                if e.stop.is_some() {
+                    cpus -= v.spec.cpus;
+                    cards -= v.spec.cards;
+                } else if v.spec.precedence > spec.precedence && v.spec.shape != Shape::Gang {
+                    let ran = match e.seen {
+                        Seen::Running => now.saturating_sub(e.running_at.max(self.taken)),
+                        _ => 0,
+                    };
+                    let kept = v.spec.checkpoint_s > 0.0;
+                    let lost = if kept { v.spec.save_s } else { ran as f64 / 1000.0 };
+                    victims.push((lost, *mid, *vid, *task));
+                }
+            }
+        }
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut stops = vec![];
+        for (_, mid, vid, task) in victims {
+            if cpus <= EPS && cards <= EPS {
+                break;
+            }
+            let v = &self.jobs[&vid].spec;
+            cpus -= v.cpus;
+            cards -= v.cards;
+            let grace = if v.checkpoint_s > 0.0 { v.save_s + 1.0 } else { 0.0 };
+            stops.push((mid, vid, task, grace));
+        }
+        if cpus > EPS || cards > EPS {
+            return false;
+        }
+        if !stops.is_empty() {
+            let count = stops.len();
+            tracing::info!("preempt {count} tasks for {}: its team's limit", spec.uid);
+        }
+        for (mid, vid, task, grace) in stops {
+            if let Some(v) = self.jobs.get_mut(&vid) {
+                v.preempted += 1;
+            }
+            self.stop_task(mid, vid, task, now, grace);
+        }
+        self.hold_limit(id, spec);
+        true
+    }
+
     /// Stops tasks to make room: those of lower priority; and, for a job within its team's
     /// guarantee, what another team runs beyond its own. The machine is kept for the job until
     /// they have left. Returns whether the job now waits for tasks that are being stopped.
