--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -27,7 +27,7 @@
     pub zones: Vec<ZoneId>,
 }
 
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct WireFlavor {
     label: String,
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -13,6 +13,7 @@
 
 pub const LEADER: &str = "c/leader";
 pub const TERM: &str = "c/term";
+const FLAVORS: &str = "c/flavors";
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -24,7 +25,12 @@
         if node.state.lock().expect("lock").flavors.is_none() {
             match node.cloud.flavors().await {
                 Some(f) if !f.is_empty() => node.state.lock().expect("lock").flavors = Some(f),
-                _ => sleep(ms(500)).await,
+                // The cloud may be in trouble just when all controllers start: the types that an
+                // earlier leader recorded will do.
+                _ => match node.store.get::<FlavorsRecord>(FLAVORS).await {
+                    Ok(Some((r, _))) => node.state.lock().expect("lock").flavors = Some(r.berths),
+                    _ => sleep(ms(500)).await,
+                },
             }
             continue;
         }
@@ -147,6 +153,7 @@
         }
     }
     node.bump();
+    record_flavors(node, stamp).await;
     tokio::select! {
         why = commits(node, term) => why,
         _ = ticks(node, term) => "a newer term was seen",
@@ -154,6 +161,23 @@
     }
 }
 
+/// Keeps the machine types for controllers that start while the cloud doesn't answer. Nothing
+/// depends on the outcome.
+async fn record_flavors(node: &Node, stamp: u64) {
+    let Some(berths) = node.state.lock().expect("lock").flavors.clone() else { return };
+    let Ok(seen) = node.store.get::<FlavorsRecord>(FLAVORS).await else { return };
+    if seen.as_ref().is_some_and(|(r, _)| r.berths == berths) {
+        return;
+    }
+    let when = [
+        Cond { path: LEADER.into(), stamp },
+        Cond { path: FLAVORS.into(), stamp: seen.map_or(0, |(_, s)| s) },
+    ];
+    let v = Record::Flavors(FlavorsRecord { berths });
+    let apply = [Change::Put { put: FLAVORS.into(), v, charter: None }];
+    node.store.commit(&when, &apply).await;
+}
+
 /// Reads every record and puts the cell together. What machines may hold is a superset.
 async fn load(node: &Node, term: u64, stamp: u64) -> Result<(), StoreError> {
     let jobs = node.store.list::<JobRecord>("j/").await?;
@@ -348,6 +372,7 @@
             c.expire(now);
             if beat.is_multiple_of(5) {
                 c.stir = true;
+                c.spot_slow(now);
             }
             if lead && c.stir {
                 c.place(now);
--- a/src/store.rs
+++ b/src/store.rs
@@ -1,5 +1,6 @@
 //! The state service by its protocol: reads, transactions, leases, and the records kept there.
 
+use crate::fleet::WireFlavor;
 use crate::http::{Answer, CallError, Client, encode};
 use crate::jobs::JobBody;
 use hyper::Method;
@@ -99,6 +100,12 @@
     pub number: u32,
 }
 
+/// `c/flavors`: the machine types, as the cloud last told them to a leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct FlavorsRecord {
+    pub berths: Vec<WireFlavor>,
+}
+
 #[derive(Debug, Clone, Serialize)]
 #[serde(untagged)]
 pub enum Record {
@@ -109,6 +116,7 @@
     Final(FinalRecord),
     Machine(MachineRecord),
     Rental(RentalRecord),
+    Flavors(FlavorsRecord),
 }
 
 #[derive(Debug, Clone, Serialize)]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -164,6 +164,8 @@
     pub error_jobs: BTreeSet<JobId>,
     pub successes: u32,
     pub faulty: bool,
+    /// Set aside for running its tasks slowly: what they can save is worth saving.
+    pub slow: bool,
     /// Being returned to the cloud; takes no more work.
     pub leaving: bool,
     pub idle_since: u64,
@@ -268,6 +270,7 @@
             error_jobs: BTreeSet::new(),
             successes: 0,
             faulty: false,
+            slow: false,
             leaving: false,
             idle_since: now,
             rented: 0,
@@ -454,6 +457,10 @@
                     let s = now.saturating_sub(entry.running_at) as f64 / 1000.0;
                     let pool = self.pool(zone, kind);
                     self.rates.finished(pool, spec.class, s);
+                    if let Some(job) = self.jobs.get_mut(&id) {
+                        job.runs.0 += 1;
+                        job.runs.1 += s;
+                    }
                 }
                 if let Some(m) = self.machines.get_mut(&mid) {
                     m.errors = 0;
@@ -511,6 +518,35 @@
         }
     }
 
+    /// Sets machines aside on which every task runs far longer than its job's tasks did elsewhere:
+    /// three tasks or more, each past `SLOW` times its job's mean.
+    pub fn spot_slow(&mut self, now: u64) {
+        const SLOW: f64 = 2.5;
+        let mut found = vec![];
+        for (mid, m) in self.machines.iter().filter(|(_, m)| m.usable(now, self.silence())) {
+            let (mut over, mut judged) = (0, 0);
+            for ((id, _), e) in &m.entries {
+                let Some(job) = self.jobs.get(id) else { continue };
+                if e.seen != Seen::Running || e.running_at == 0 || job.runs.0 < 4 {
+                    continue;
+                }
+                judged += 1;
+                let ran = now.saturating_sub(e.running_at) as f64 / 1000.0;
+                over += u32::from(ran > SLOW * job.runs.1 / f64::from(job.runs.0) + 5.0);
+            }
+            if judged >= 3 && over == judged {
+                found.push(*mid);
+            }
+        }
+        for mid in found {
+            if let Some(m) = self.machines.get_mut(&mid) {
+                (m.faulty, m.slow) = (true, true);
+                tracing::info!("quarantine {}: its tasks run far longer than elsewhere", m.name);
+            }
+            self.drain(mid, now);
+        }
+    }
+
     /// Stops what runs on a machine that must not or cannot go on, saving what can be saved.
     pub fn drain(&mut self, mid: MachineId, now: u64) {
         let Some(m) = self.machines.get(&mid) else { return };
@@ -524,7 +560,8 @@
                 continue;
             }
             let save = job.spec.save_s;
-            let can_save = job.spec.checkpoint_s > 0.0 && e.seen == Seen::Running && !faulty;
+            let can_save =
+                job.spec.checkpoint_s > 0.0 && e.seen == Seen::Running && (!faulty || m.slow);
             // Without a checkpoint to win, a task may as well run on until the machine goes, in
             // case it finishes first. Save as late as is safe.
             let wait = gone_soon && (!can_save || left > save + 5.0);
@@ -542,7 +579,8 @@
         }
         for id in gangs {
             let grace = self.jobs.get(&id).map_or(0.0, |j| j.spec.save_s + 1.0);
-            self.stop_all(id, now, if faulty { 0.0 } else { grace });
+            let slow = self.machines.get(&mid).is_some_and(|m| m.slow);
+            self.stop_all(id, now, if faulty && !slow { 0.0 } else { grace });
         }
     }
 
