--- a/src/cell.rs
+++ b/src/cell.rs
@@ -61,7 +61,15 @@
     pub apply: Vec<Change>,
 }
 
+/// How the writing of records went in this term.
+#[derive(Debug)]
+pub struct Commits {
+    pub writes: u64,
+    pub micros: hdrhistogram::Histogram<u32>,
+}
+
 pub struct Cell {
+    pub commits: Commits,
     pub settings: Arc<Settings>,
     pub term: u64,
     /// Key and version of the leader record that every transaction is conditional on.
@@ -110,6 +118,11 @@
         }
         let pools = names.zones.len() * flavors.len();
         Cell {
+            commits: Commits {
+                writes: 0,
+                // Two digits up to a minute: a few KiB. The bounds are constants and valid.
+                micros: hdrhistogram::Histogram::new_with_max(60_000_000, 2).expect("valid bounds"),
+            },
             usage: vec![Usage::default(); settings.deployment.teams.len()],
             held: vec![Usage::default(); settings.deployment.teams.len()],
             rates: Rates::new(pools, settings.tuning.rate_window),
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -289,6 +289,17 @@
 async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
     let (mut read, mut write) = stream.into_split();
+    // Peers speak frames; whoever begins with an HTTP request wants the metrics.
+    let mut first = [0u8; 4];
+    if !matches!(timeout(Duration::from_secs(10), read.read_exact(&mut first)).await, Ok(Ok(_))) {
+        return;
+    }
+    let mut read = std::io::Cursor::new(first).chain(read);
+    if &first == b"GET " {
+        let io = tokio::io::join(read, write);
+        let _ = timeout(Duration::from_secs(5), crate::metrics::serve(&node, io)).await;
+        return;
+    }
     let (tx, mut rx) = mpsc::channel::<Vec<u8>>(IN_FLIGHT);
     let writer = async {
         while let Some(frame) = rx.recv().await {
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -328,7 +328,13 @@
             continue;
         };
         tokens -= batch.apply.len() as f64;
-        match node.store.commit(&batch.when, &batch.apply).await {
+        let begin = tokio::time::Instant::now();
+        let outcome = node.store.commit(&batch.when, &batch.apply).await;
+        node.with_cell(term, |c, _| {
+            c.commits.writes += batch.apply.len() as u64;
+            c.commits.micros.saturating_record(begin.elapsed().as_micros() as u64);
+        });
+        match outcome {
             Outcome::Applied(rev) => {
                 alone = false;
                 node.with_cell(term, |c, _| c.applied(&batch, rev));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,12 +3,14 @@
 
 pub mod admission;
 pub mod cell;
+pub mod client;
 pub mod cluster;
 pub mod fleet;
 pub mod front;
 pub mod http;
 pub mod jobs;
 pub mod leadership;
+pub mod metrics;
 pub mod names;
 pub mod node;
 pub mod placement;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Figures for those who watch the service, in the OpenMetrics text format, on `cluster_listen`.
+//! They are gathered when asked for, so that nobody pays for them in between.
+
+use crate::admission::nu;
+use crate::names::TypeId;
+use crate::node::Node;
+use http_body_util::Full;
+use hyper::body::{Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use tokio::io::{AsyncRead, AsyncWrite};
+
+type Labels = Vec<(&'static str, String)>;
+type Figure = Family<Labels, Gauge<f64, AtomicU64>>;
+
+fn gather(node: &Node) -> Registry {
+    let mut registry = Registry::with_prefix("copperhaven");
+    let mut figure = |name: &str, help: &str| {
+        let f = Figure::default();
+        registry.register(name, help, f.clone());
+        f
+    };
+    let term = figure("term", "Highest term seen");
+    let leader = figure("leader", "1 if this controller leads");
+    let jobs = figure("jobs", "Jobs in memory, by state");
+    let machines = figure("machines", "Machines, by type, zone and state");
+    let waiting = figure("queue_tasks", "Waiting tasks routed to each pool");
+    let index = figure("queue_index", "Chance that one more one-slot task misses the default span");
+    let usage = figure("team_cpus", "CPUs that tasks of each team may be using");
+    let dirty = figure("records_dirty", "Records not yet at the state service");
+    let writes = figure("store_writes", "Puts and deletes sent in this term");
+    let latency = figure("commit_seconds", "Time that transactions of this term took");
+    let (seen, leads) = node.standing();
+    let none: Labels = vec![];
+    term.get_or_create(&none).set(seen as f64);
+    leader.get_or_create(&none).set(f64::from(u8::from(leads)));
+    let now = node.now();
+    node.with_cell(seen, |c, _| {
+        for (state, n) in [
+            ("waiting", c.jobs.values().filter(|j| j.open() && j.running == 0).count()),
+            ("running", c.jobs.values().filter(|j| j.open() && j.running > 0).count()),
+            ("ending", c.jobs.values().filter(|j| !j.open()).count()),
+        ] {
+            jobs.get_or_create(&vec![("state", state.into())]).set(n as f64);
+        }
+        let silence = c.silence();
+        for m in c.machines.values() {
+            let state = match () {
+                () if m.faulty => "quarantined",
+                () if m.leaving => "leaving",
+                () if m.recall_at.is_some() => "taken back",
+                () if m.usable(now, silence) => "usable",
+                () => "silent",
+            };
+            let labels = vec![
+                ("type", c.names.types.name(m.kind.ix()).to_string()),
+                ("zone", c.names.zones.name(m.zone.ix()).to_string()),
+                ("state", state.into()),
+            ];
+            machines.get_or_create(&labels).inc();
+        }
+        let span = c.settings.tuning.default_span_s;
+        for (z, zone) in (0..c.names.zones.len()).map(|z| (z, c.names.zones.name(z))) {
+            for (k, flavor) in c.flavors.iter().enumerate() {
+                let pool = z * c.flavors.len() + k;
+                let labels = vec![("zone", zone.to_string()), ("type", flavor.label.clone())];
+                let routed = |j: &crate::jobs::Job| j.routed.get(pool).copied().unwrap_or(0);
+                let x: u32 = c.jobs.values().map(routed).sum();
+                let here = |m: &&crate::workers::Machine| {
+                    m.zone.ix() == z && m.kind == TypeId::from(k) && m.usable(now, silence)
+                };
+                let m = c.machines.values().filter(here).count() as f64 * flavor.cpus;
+                waiting.get_or_create(&labels).set(f64::from(x));
+                let value = crate::admission::ln_meet(m, f64::from(x), 1.0 / 60.0, 1.0 / span);
+                index.get_or_create(&labels).set(nu(value));
+            }
+        }
+        for (t, team) in c.settings.deployment.teams.iter().enumerate() {
+            usage.get_or_create(&vec![("team", team.name.clone())]).set(c.usage[t].cpus);
+        }
+        dirty.get_or_create(&none).set(c.dirty.len() as f64);
+        writes.get_or_create(&none).set(c.commits.writes as f64);
+        for (name, q) in [("0.5", 0.5), ("0.99", 0.99), ("1", 1.0)] {
+            let s = c.commits.micros.value_at_quantile(q) as f64 / 1e6;
+            latency.get_or_create(&vec![("quantile", name.into())]).set(s);
+        }
+    });
+    registry
+}
+
+async fn answer(
+    node: Arc<Node>,
+    r: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut text = String::new();
+    let found = r.uri().path() == "/metrics" && encode(&mut text, &gather(&node)).is_ok();
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    if !found {
+        *response.status_mut() = StatusCode::NOT_FOUND;
+    }
+    Ok(response)
+}
+
+pub async fn serve<S>(node: &Arc<Node>, io: S) -> hyper::Result<()>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    let node = node.clone();
+    let service = service_fn(move |r| answer(node.clone(), r));
+    http1::Builder::new().keep_alive(false).serve_connection(TokioIo::new(io), service).await
+}
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -374,3 +374,28 @@
     assert!(matches!(exchange(&mut c, &late, T0)[..], [Order::Halt { .. }]));
     assert!(c.jobs[&id].waiting.contains(&0));
 }
+
+#[test]
+fn a_slow_machine_is_told_by_its_job_s_tasks_elsewhere() {
+    for (ran, slow) in [(12_000, false), (20_000, false), (40_000, true)] {
+        let mut c = cell();
+        let id = add_job(&mut c, "wk-1", |b| b.parcels = 4);
+        commit(&mut c);
+        exchange(&mut c, &report(1, 1, TERM, &[]), T0);
+        let mid = c.by_name["n-1"];
+        let tries: Vec<u64> = c.machines[&mid].entries.values().map(|e| e.attempt).collect();
+        assert_eq!(tries.len(), 4);
+        let list = |status| {
+            let names = ["wk-1/0", "wk-1/1", "wk-1/2", "wk-1/3"];
+            let on: Vec<_> = (0..4).map(|i| (names[i], tries[i], status)).collect();
+            on
+        };
+        c.on_report(&report(1, 2, TERM, &list("pulling")), T0 + 500);
+        c.on_report(&report(1, 3, TERM, &list("running")), T0 + 1000);
+        // Its job's tasks took 10 s on other machines.
+        c.jobs.get_mut(&id).expect("there").runs = (5, 50.0);
+        c.on_report(&report(1, 4, TERM, &list("running")), T0 + 1000 + ran);
+        c.spot_slow(T0 + 1000 + ran);
+        assert_eq!(c.machines[&mid].faulty, slow, "after {ran} ms");
+    }
+}
