--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -187,11 +187,6 @@
         self.links.iter().filter(|l| l.healthy(now)).fold(0, |bits, l| bits | (1 << (l.ix & 15)))
     }
 
-    /// The highest term that any peer has told, and whether that peer leads.
-    pub fn heard(&self) -> impl Iterator<Item = (usize, PeerView)> + '_ {
-        self.links.iter().map(|l| (l.ix, l.view()))
-    }
-
     /// The link on which `leader` is best reached: its own, or that of a peer which reaches it.
     fn way(&self, leader: usize, now: u64, direct: bool) -> Option<(&Arc<Link>, u8)> {
         if let Some(l) = self.links.iter().find(|l| l.ix == leader && l.healthy(now)) {
@@ -205,6 +200,11 @@
         over.map(|l| (l, 1))
     }
 
+    /// Is any peer within reach? True where there are none.
+    pub fn any_peer(&self, now: u64) -> bool {
+        self.links.is_empty() || self.links.iter().any(|l| l.healthy(now))
+    }
+
     pub fn can_reach(&self, leader: usize, now: u64) -> bool {
         leader == self.me || self.way(leader, now, false).is_some()
     }
--- a/src/front.rs
+++ b/src/front.rs
@@ -9,10 +9,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 const MOST_BODY: usize = 64 << 10;
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+const IDLE_LIMIT: Duration = Duration::from_secs(120);
 
 fn respond(reply: Reply) -> Response {
     let status = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
@@ -24,7 +27,8 @@
 }
 
 async fn read(body: Body) -> Option<Vec<u8>> {
-    body.into_bytes_limit(MOST_BODY).await.ok().map(|b| b.to_vec())
+    let body = tokio::time::timeout(BODY_LIMIT, body.into_bytes_limit(MOST_BODY));
+    body.await.ok()?.ok().map(|b| b.to_vec())
 }
 
 #[handler]
@@ -142,5 +146,5 @@
         .at("/v1/report", post(report))
         .at("/up", get(up))
         .data(node);
-    Server::new_with_acceptor(Bounded { inner, slots }).run(app).await
+    Server::new_with_acceptor(Bounded { inner, slots }).idle_timeout(IDLE_LIMIT).run(app).await
 }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -41,6 +41,13 @@
                 sleep(ms(350 + rand::random::<u64>() % 100)).await;
             }
             Ok(None) => {
+                // Whoever is cut off from the others leaves them the first try.
+                if !node.cluster.any_peer(node.now()) && node.now() > 5000 {
+                    sleep(ms(1500)).await;
+                    if !matches!(node.store.get::<LeaderRecord>(LEADER).await, Ok(None)) {
+                        continue;
+                    }
+                }
                 if let Some((term, stamp, lease, sent)) = elect(&node).await {
                     lead(&node, term, stamp, lease, sent).await;
                 }
@@ -156,7 +163,7 @@
     record_flavors(node, stamp).await;
     tokio::select! {
         why = commits(node, term) => why,
-        _ = ticks(node, term) => "a newer term was seen",
+        why = ticks(node, term) => why,
         _ = fleet::run(node.clone(), term) => "superseded",
     }
 }
@@ -368,9 +375,13 @@
     }
 }
 
+/// A leader that has heard nobody for this long gives way.
+const ALONE_MS: u64 = 6000;
+
 /// What time brings: leases that run out, pauses that end, orders to send.
-async fn ticks(node: &Arc<Node>, term: u64) {
+async fn ticks(node: &Arc<Node>, term: u64) -> &'static str {
     let mut beat = 0u64;
+    let mut heard = node.now();
     loop {
         let now = node.now();
         beat += 1;
@@ -383,15 +394,25 @@
             if lead && c.stir {
                 c.place(now);
             }
-            std::mem::take(&mut c.direct)
+            // With no machines there is nobody to be heard.
+            let report = c.machines.values().map(|m| m.heard).max().unwrap_or(now);
+            (std::mem::take(&mut c.direct), report)
         });
-        let Some(direct) = direct else { return };
+        let Some((direct, report)) = direct else { return "superseded" };
+        // A leader that reaches the state service but nobody else is of no use to anybody.
+        heard = heard.max(report);
+        if node.cluster.any_peer(now) {
+            heard = now;
+        }
+        if now > heard + ALONE_MS {
+            return "neither workers nor peers are heard";
+        }
         for d in direct {
             let node = node.clone();
             tokio::spawn(async move { send(&node, term, d).await });
         }
         if node.state.lock().expect("lock").top_term > term {
-            return;
+            return "a newer term was seen";
         }
         node.kick();
         sleep(ms(100)).await;
--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 use crate::workers::{Report, Taken};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{Instant, timeout_at};
 
 /// An answer to a user or worker, wherever it came from.
@@ -62,8 +62,11 @@
     /// Rises with every applied transaction and every change of the leader.
     pub changed: watch::Sender<u64>,
     pub dirty: Notify,
+    users: Semaphore,
 }
 
+/// Requests of users that are served at the same time.
+const USERS: usize = 128;
 const USER_LIMIT: Duration = Duration::from_millis(2500);
 const FORWARD: Duration = Duration::from_millis(1500);
 const REPORT_LIMIT: Duration = Duration::from_millis(1500);
@@ -80,6 +83,7 @@
             state: Mutex::default(),
             changed: watch::Sender::new(0),
             dirty: Notify::new(),
+            users: Semaphore::new(USERS),
         }
     }
 
@@ -176,6 +180,12 @@
 
     /// Answers a request from this node's own door.
     pub async fn ask(&self, op: Op, body: &[u8]) -> Reply {
+        // More at once than can be served in time is refused at once, but workers' reports, on
+        // which their leases hang, never wait behind users.
+        let slot = (op != Op::Report).then(|| self.users.try_acquire());
+        if matches!(slot, Some(Err(_))) {
+            return Reply::later("too many requests at once", 2);
+        }
         self.serve(op, body, 2).await
     }
 
@@ -290,6 +300,10 @@
                 Err(e @ Refusal::Never(_)) => return Err(Reply::error(422, &e.to_string())),
                 Err(e) => return Err(Reply::error(400, &e.to_string())),
             };
+            let open: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
+            if open + spec.tasks as usize > c.settings.most_tasks() {
+                return Err(Reply::later("more tasks than fit into memory", 20));
+            }
             // Types that the cloud doesn't have can't matter, and a long list of them would not
             // fit into the record.
             if let Some(berths) = &mut job.berths {
@@ -342,9 +356,10 @@
         }
         match self.past(term, uid).await {
             Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
-            // Whatever was accepted and is not over is in the memory of a leader in authority.
+            // Whatever was accepted and is not over should be in the memory of a leader in
+            // authority; what could not be read in (other settings now) is still on record.
             Ok(None) if self.leading(false) && self.known(term, uid).is_none() => {
-                Reply::error(404, "unknown job")
+                self.show_from_store(body).await
             }
             _ => Reply::later("no certain answer", 1),
         }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -97,9 +97,10 @@
 
     pub fn slots(&self, now: u64) -> Vec<Slot> {
         let silence = self.silence();
+        let most = self.settings.most_groups();
         self.machines
             .iter()
-            .filter(|(_, m)| m.usable(now, silence))
+            .filter(|(_, m)| m.usable(now, silence) && m.groups_below(most))
             .map(|(mid, m)| Slot {
                 mid: *mid,
                 kind: m.kind,
@@ -276,8 +277,9 @@
                 }
                 let tasks: Vec<u32> =
                     self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+                // One attempt for all that start together keeps the machine's record short.
+                let attempt = self.new_attempt();
                 for task in tasks {
-                    let attempt = self.new_attempt();
                     self.assign(slots[i].mid, id, task, attempt, now);
                 }
                 slots[i].take(spec, n);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -250,6 +250,17 @@
         self.tuning.leader_lease_ms + (s.max(0.0) * 1000.0) as u64
     }
 
+    /// Tasks of open jobs that the leader's memory has room for; more are refused for a while.
+    pub fn most_tasks(&self) -> usize {
+        // One job of the largest size always fits.
+        ((self.deployment.limits.mem_mb * 8000.0) as usize).max(200_000)
+    }
+
+    /// Groups of tasks that a machine's record has room for.
+    pub fn most_groups(&self) -> usize {
+        ((self.deployment.state.value_kb * 1024.0 / 72.0) as usize).saturating_sub(8).max(8)
+    }
+
     /// A worker's lease, as long as it may last by another machine's clock.
     pub fn lease_ms(&self) -> u64 {
         (self.deployment.workers.lease_s * 1002.0) as u64 + 100
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -198,6 +198,14 @@
         }
     }
 
+    /// Does its record have room for another group of tasks?
+    pub fn groups_below(&self, most: usize) -> bool {
+        let groups = || {
+            self.entries.iter().map(|((id, _), e)| (*id, e.attempt)).collect::<BTreeSet<_>>().len()
+        };
+        self.entries.len() < most || groups() < most
+    }
+
     pub fn usable(&self, now: u64, silence: u64) -> bool {
         self.fenced
             && !self.faulty
