A gang task that exits by itself ends the attempt for all; tests of restarts and the lease

Its mates would only have waited out their time, and a replacement would have run under an attempt that the worker had been told to forget. Tables added: restarts in an outage, late direct commands, the lease counted from the send.

--- a/src/node.rs
+++ b/src/node.rs
@@ -466,3 +466,30 @@
         Some((names, flavors))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_leader_counts_its_lease_from_the_send_of_the_last_good_renewal() {
+        let node = Node::new(crate::settings::tests::sample());
+        let cell = crate::safety_tests::cell();
+        let term = cell.term;
+        let mut state = State { cell: Some(cell), renewed: 10_000, ..State::default() };
+        let ttl = node.settings.tuning.leader_lease_ms;
+        let hold = node.settings.holding_ms();
+        for (at, authority, holding) in [
+            (10_000 + ttl - 1, true, true),
+            (10_000 + ttl, false, true),
+            (10_000 + hold - 1, false, true),
+            (10_000 + hold, false, false),
+        ] {
+            assert_eq!(node.authority(&state, at), authority, "{at}");
+            assert_eq!(node.holding(&state, at), holding, "{at}");
+        }
+        // A newer term seen anywhere ends both at once.
+        state.top_term = term + 1;
+        assert!(!node.authority(&state, 10_001) && !node.holding(&state, 10_001));
+    }
+}
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -12,7 +12,7 @@
 const TERM: u64 = 7;
 const T0: u64 = 100_000;
 
-fn cell() -> Cell {
+pub fn cell() -> Cell {
     let settings = Arc::new(crate::settings::tests::sample());
     let mut names = Names::new(&settings);
     let flavors = crate::fleet::tests::flavors(&mut names);
@@ -435,3 +435,74 @@
         assert!(c.jobs[&id].waiting.len() == 2);
     }
 }
+
+#[test]
+fn direct_commands_may_come_late() {
+    // They only ever halt, by an attempt that is never used again, or carry nothing but the term.
+    let (mut c, id, _, a) = started();
+    c.cancel(id, T0 + 600);
+    for d in &c.direct {
+        let halts = |o: &Order| matches!(o, Order::Halt { attempt, .. } if *attempt == a);
+        assert!(d.orders.iter().all(halts));
+    }
+    let newer = c.new_attempt();
+    assert!(newer > a);
+}
+
+#[test]
+fn restarts_during_an_outage_lose_nothing_and_start_nothing() {
+    // Every controller restarts before any could write: each reads the same records, and waits for
+    // the same machines from its own takeover on.
+    let job = JobRecord { job: crate::jobs::tests::body("wk-1"), at: T0, cancelled: false };
+    let machine = MachineRecord {
+        addr: "127.0.0.1:9".into(),
+        berth: "big".into(),
+        yard: "north".into(),
+        spot: false,
+        shift: 1,
+        on: vec![OnRecord { j: "wk-1".into(), t: 5, r: vec![0, 3] }],
+    };
+    for takeover in [T0, T0 + 5_000, T0 + 60_000] {
+        let mut c = cell();
+        c.taken = takeover;
+        let jobs = vec![("j/wk-1".to_string(), job.clone(), 2)];
+        let machines = vec![("m/n-1".to_string(), machine.clone(), 3)];
+        rebuild(&mut c, jobs, vec![], machines, vec![], takeover);
+        // A healthy machine of another name reports: nothing may be started on it.
+        let mut r = report(1, 1, TERM, &[]);
+        r.hearth = "n-2".into();
+        assert!(runs(&exchange(&mut c, &r, takeover + 1000)).is_empty());
+        assert!(c.show("wk-1").is_some(), "accepted stays accepted");
+        // The recorded machine shows the term and the tasks: they run on.
+        let on = [("wk-1/0", 5, "running"), ("wk-1/1", 5, "running"), ("wk-1/2", 5, "running")];
+        let mut r = report(1, 9, TERM, &on);
+        r.berth = "big".into();
+        assert!(exchange(&mut c, &r, takeover + 2000).is_empty());
+        assert_eq!(c.show("wk-1").expect("known").running, 3);
+    }
+}
+
+#[test]
+fn a_gang_task_that_exits_alone_ends_the_attempt() {
+    let mut c = cell();
+    let id = add_job(&mut c, "wk-1", |b| {
+        (b.shape, b.parcels, b.cpus) = (Shape::Gang, 2, 4.0);
+    });
+    commit(&mut c);
+    let from = |n: usize, tally, parcels: &[(&str, u64, &str)]| {
+        let mut r = report(1, tally, TERM, parcels);
+        r.hearth = format!("n-{n}");
+        r
+    };
+    exchange(&mut c, &from(1, 1, &[]), T0);
+    exchange(&mut c, &from(2, 1, &[]), T0);
+    let a = runs(&exchange(&mut c, &from(1, 2, &[]), T0))[0].1;
+    let second = runs(&exchange(&mut c, &from(2, 2, &[]), T0))[0].0.clone();
+    let first = if second == "wk-1/0" { "wk-1/1" } else { "wk-1/0" };
+    exchange(&mut c, &from(2, 3, &[(&second, a, "waiting")]), T0 + 1000);
+    c.on_report(&from(1, 3, &[(first, a, "ended:alone")]), T0 + 31_000);
+    assert_eq!(c.direct.len(), 1, "its mate is halted at once");
+    c.on_report(&from(2, 4, &[(&second, a, "ended:halted")]), T0 + 32_000);
+    c.place(T0 + 32_000);
+    assert!(c.jobs[&id].attempt > a, "and all start over with a new attempt");
+}
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -494,6 +494,11 @@
         }
         if p.cause.as_deref() != Some("done") {
             self.lost_task(id, task);
+            // A gang's task that exits by itself (alone, refused, failed) ends the attempt for all:
+            // its mates would only wait out their time.
+            if spec.shape == crate::jobs::Shape::Gang {
+                self.stop_all(id, now, 0.0);
+            }
         }
     }
 
