--- a/src/cell.rs
+++ b/src/cell.rs
@@ -595,7 +595,7 @@
         let keys: Vec<(JobId, u32)> = m.entries.keys().copied().collect();
         for (id, task) in keys {
             self.detach(mid, id, task);
-            self.lost_task(id, task);
+            self.lost_task(id);
         }
         self.machines.remove(&mid);
         self.by_name.remove(&name);
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -395,7 +395,7 @@
                 .collect();
             for (id, task) in absent {
                 self.detach(mid, id, task);
-                self.lost_task(id, task);
+                self.lost_task(id);
             }
         }
         let notice = self.machines.get(&mid).is_some_and(|m| m.recall_at.is_some());
@@ -493,7 +493,7 @@
             _ => {}
         }
         if p.cause.as_deref() != Some("done") {
-            self.lost_task(id, task);
+            self.lost_task(id);
             // A gang's task that exits by itself (alone, refused, failed) ends the attempt for all:
             // its mates would only wait out their time.
             if spec.shape == crate::jobs::Shape::Gang {
@@ -599,13 +599,11 @@
 
     pub fn stop_task(&mut self, mid: MachineId, id: JobId, task: u32, now: u64, grace: f64) {
         let parcel = self.parcel(id, task);
-        let ver_saved = |cell: &Cell, v| cell.is_saved(&Key::Machine(mid), v);
         let Some(e) = self.machines.get(&mid).and_then(|m| m.entries.get(&(id, task))) else {
             return;
         };
         if e.mark.is_none() && e.seen == Seen::Not && !e.inherited {
             // Its `run` was never sent: taking it off the list is enough.
-            let _ = ver_saved;
             self.detach(mid, id, task);
             return;
         }
@@ -645,7 +643,7 @@
     /// A task is gone from its machine without being done. A gang that has started, or is being
     /// stopped, starts over as a whole once all its tasks are gone; one that has not started gets
     /// a replacement with the same attempt.
-    pub fn lost_task(&mut self, id: JobId, _task: u32) {
+    pub fn lost_task(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
         if job.spec.shape != crate::jobs::Shape::Gang || !job.open() {
             return;
@@ -755,7 +753,7 @@
                 .unwrap_or_default();
             for (id, task) in keys {
                 self.detach(*mid, id, task);
-                self.lost_task(id, task);
+                self.lost_task(id);
             }
         }
         over
