A standing fleet only where operators provide machines

Change: machines that are there before the first rental ever are counted and recorded; without any, nothing is rented but for work that waits. Rentals wait for the count.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -3,10 +3,11 @@
 use crate::cell::{Cell, Key, Names, Usage};
 use crate::http::{CallError, Client};
 use crate::jobs::{EPS, Shape, Spec};
+use crate::leadership::LEADER;
 use crate::names::*;
 use crate::node::Node;
 use crate::placement::Slot;
-use crate::store::RentalRecord;
+use crate::store::{Change, Cond, Outcome, ProvidedRecord, Record, RentalRecord};
 use crate::workers::Seen;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -101,6 +102,9 @@
     /// Names to give back.
     back: BTreeMap<String, &'static str>,
     gone: HashSet<String>,
+    /// How many machines the operators have given the service, apart from what it rents itself.
+    /// None until they were counted and recorded, before the very first rental.
+    pub provided: Option<u32>,
 }
 
 impl Fleet {
@@ -113,6 +117,7 @@
             pauses: HashMap::new(),
             back: BTreeMap::new(),
             gone: HashSet::new(),
+            provided: None,
         }
     }
 
@@ -345,8 +350,13 @@
     }
 
     /// Where every type boots slower than work has to start, renting on demand is always late:
-    /// there the fleet is kept at what the teams' guarantees could call for.
+    /// there the fleet is kept at what the teams' guarantees could call for. Only operators who
+    /// keep machines up themselves want that, though: where they give none, machines are meant to
+    /// be there for work alone, and money is spent on nothing else.
     fn boots_late(&self) -> bool {
+        if self.fleet.provided.is_none_or(|n| n == 0) {
+            return false;
+        }
         let quickest = self.flavors.iter().map(|f| f.boot_s).fold(f64::MAX, f64::min);
         self.start_span().is_some_and(|s| quickest > s)
     }
@@ -398,7 +408,7 @@
 
     /// Plans rentals; each is recorded before it is asked for.
     pub fn plan_rentals(&mut self, now: u64) {
-        if self.fleet.rentals.len() >= 8 {
+        if self.fleet.rentals.len() >= 8 || self.fleet.provided.is_none() {
             return;
         }
         let mut wanted = self.demand(now);
@@ -491,6 +501,13 @@
         });
     }
 
+    /// Machines that are there without having been rented: those listed, and those that report.
+    pub fn provided(&self, hosts: &[Host]) -> u32 {
+        let listed = hosts.iter().filter(|h| h.status != "failed").map(|h| h.uid.as_str());
+        let heard = self.machines.values().map(|m| m.name.as_str());
+        listed.chain(heard).collect::<HashSet<_>>().len() as u32
+    }
+
     /// What to give back: machines that never came up, that are faulty, about to be taken, past
     /// their lease, or idle for longer than it would take to get them again.
     pub fn plan_returns(&mut self, now: u64) {
@@ -649,12 +666,41 @@
     }
 }
 
+/// The key under which the number of provided machines is recorded.
+pub const PROVIDED: &str = "c/provided";
+
+/// Counts the machines that are there before the service has ever rented any, and records their
+/// number. None: not known yet.
+async fn survey(node: &Node, term: u64) -> Option<u32> {
+    let hosts = node.cloud.list().await?;
+    let now = node.now();
+    let (machines, stamp) = node.with_cell(term, |c, _| {
+        c.listed(&hosts, now);
+        (c.provided(&hosts), c.leader.stamp)
+    })?;
+    let when = [Cond { path: LEADER.into(), stamp }, Cond { path: PROVIDED.into(), stamp: 0 }];
+    let v = Record::Provided(ProvidedRecord { machines });
+    let apply = [Change::Put { put: PROVIDED.into(), v, charter: None }];
+    match node.store.commit(&when, &apply).await {
+        Outcome::Applied(_) => Some(machines),
+        // An earlier try without an answer may have been applied.
+        _ => Some(node.store.get::<ProvidedRecord>(PROVIDED).await.ok()??.0.machines),
+    }
+}
+
 /// The leader's dealings with the cloud: one call at a time, paced below its limit.
 pub async fn run(node: Arc<Node>, term: u64) {
     let gap = Duration::from_secs_f64(1.25 / node.settings.deployment.cloud.rps);
     let mut listed = 0u64;
     loop {
         tokio::time::sleep(gap).await;
+        if node.with_cell(term, |c, lead| lead && c.fleet.provided.is_none()) == Some(true) {
+            if let Some(n) = survey(&node, term).await {
+                tracing::info!("{n} machines are provided");
+                node.with_cell(term, |c, _| c.fleet.provided = Some(n));
+            }
+            continue;
+        }
         let now = node.now();
         let plan = node.with_cell(term, |c, lead| {
             if lead {
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -191,11 +191,13 @@
     let done = node.store.list::<DoneRecord>("d/").await?;
     let machines = node.store.list::<MachineRecord>("m/").await?;
     let rentals = node.store.list::<RentalRecord>("r/").await?;
+    let provided = node.store.get::<ProvidedRecord>(fleet::PROVIDED).await?;
     let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
     let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
     rebuild(&mut cell, jobs, done, machines, rentals, now);
+    cell.fleet.provided = provided.map(|(p, _)| p.machines);
     let (j, m) = (cell.jobs.len(), cell.machines.len());
     tracing::info!("term {term} has {j} open jobs and {m} machines on record");
     node.state.lock().expect("lock").cell = Some(cell);
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -506,3 +506,39 @@
     c.place(T0 + 32_000);
     assert!(c.jobs[&id].attempt > a, "and all start over with a new attempt");
 }
+
+#[test]
+fn machines_stand_only_where_operators_provide_some() {
+    // Found on grown days: where no machine is provided, a standing fleet was most of the cost.
+    for (provided, stands) in [(None, false), (Some(0), false), (Some(3), true)] {
+        let mut c = cell();
+        let mut settings = (*c.settings).clone();
+        // Every type boots in 20 s, later than work has to start.
+        settings.deployment.objectives[0].within_s = Some(10.0);
+        c.settings = Arc::new(settings);
+        c.fleet.provided = provided;
+        c.plan_rentals(T0);
+        assert_eq!(!c.fleet.rentals.is_empty(), stands, "{provided:?}");
+        // Work that waits gets its machines, but nothing is rented before the count is known.
+        add_job(&mut c, "wk-1", |b| b.parcels = 1);
+        commit(&mut c);
+        c.plan_rentals(T0);
+        assert_eq!(!c.fleet.rentals.is_empty(), provided.is_some(), "{provided:?}");
+    }
+}
+
+#[test]
+fn what_reports_or_is_listed_before_the_first_rental_counts_as_provided() {
+    let (c, ..) = started();
+    let host = |uid: &str, status: &str| crate::fleet::Host {
+        uid: uid.into(),
+        berth: "small".into(),
+        yard: "north".into(),
+        loaners: false,
+        status: status.into(),
+        held_s: 0.0,
+    };
+    let listed = [host("n-1", "running"), host("n-2", "booting"), host("n-3", "failed")];
+    assert_eq!(c.provided(&listed), 2);
+    assert_eq!(c.provided(&[]), 1);
+}
--- a/src/store.rs
+++ b/src/store.rs
@@ -106,6 +106,12 @@
     pub berths: Vec<WireFlavor>,
 }
 
+/// `c/provided`: how many machines were there before the service rented any.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ProvidedRecord {
+    pub machines: u32,
+}
+
 #[derive(Debug, Clone, Serialize)]
 #[serde(untagged)]
 pub enum Record {
@@ -117,6 +123,7 @@
     Machine(MachineRecord),
     Rental(RentalRecord),
     Flavors(FlavorsRecord),
+    Provided(ProvidedRecord),
 }
 
 #[derive(Debug, Clone, Serialize)]
