A gang whose image takes long gets replacements instead of starting over

Their image takes 20 to 70 s to fetch, with a spread of a third, but a task that has it waits only gang_wait_s = 30 s: it exits `alone`, its mates were stopped, gave up their fetches, and all began again. Ruled out: team limits, reservations, machines that failed them (none in the log). Change: while a mate still fetches (bounded by 60 s and four times the expected fetch), the task's place is kept and a replacement joins the attempt, as the protocol provides.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -57,7 +57,7 @@
 /// What is lost, how many tasks then fit, and who has to go.
 type Victims = (f64, u32, Vec<(JobId, u32)>);
 
-const RESERVE_MS: u64 = 30_000;
+pub const RESERVE_MS: u64 = 30_000;
 
 impl Cell {
     /// Open jobs in the order in which they are served: those within their team's guarantee first,
@@ -227,7 +227,7 @@
     fn candidates(&self, id: JobId, spec: &Spec, slots: &[Slot]) -> Vec<usize> {
         let Some(job) = self.jobs.get(&id) else { return vec![] };
         let sound = self.machines.len() > job.failed_on.len();
-        let mut out: Vec<(bool, bool, i64, i64, usize)> = slots
+        let mut out: Vec<(bool, bool, bool, i64, i64, usize)> = slots
             .iter()
             .enumerate()
             .filter(|(_, s)| s.allowed(spec) && s.reserved.is_none_or(|r| r == id))
@@ -240,7 +240,7 @@
                 // The cheapest first, so that dear machines get free and can be given back.
                 let f = &self.flavors[s.kind.ix()];
                 let price = (f.price(s.spot) * self.share(spec, s.kind) * 1e6) as i64;
-                (!image, !routed, price, (s.cpus * 1000.0) as i64, i)
+                (!image, s.reserved.is_none(), !routed, price, (s.cpus * 1000.0) as i64, i)
             })
             .collect();
         out.sort_unstable();
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -483,28 +483,51 @@
 }
 
 #[test]
-fn a_gang_task_that_exits_alone_ends_the_attempt() {
-    let mut c = cell();
-    let id = add_job(&mut c, "wk-1", |b| {
-        (b.shape, b.parcels, b.cpus) = (Shape::Gang, 2, 4.0);
-    });
-    commit(&mut c);
-    let from = |n: usize, tally, parcels: &[(&str, u64, &str)]| {
-        let mut r = report(1, tally, TERM, parcels);
-        r.hearth = format!("n-{n}");
-        r
-    };
-    exchange(&mut c, &from(1, 1, &[]), T0);
-    exchange(&mut c, &from(2, 1, &[]), T0);
-    let a = runs(&exchange(&mut c, &from(1, 2, &[]), T0))[0].1;
-    let second = runs(&exchange(&mut c, &from(2, 2, &[]), T0))[0].0.clone();
-    let first = if second == "wk-1/0" { "wk-1/1" } else { "wk-1/0" };
-    exchange(&mut c, &from(2, 3, &[(&second, a, "waiting")]), T0 + 1000);
-    c.on_report(&from(1, 3, &[(first, a, "ended:alone")]), T0 + 31_000);
-    assert_eq!(c.direct.len(), 1, "its mate is halted at once");
-    c.on_report(&from(2, 4, &[(&second, a, "ended:halted")]), T0 + 32_000);
-    c.place(T0 + 32_000);
-    assert!(c.jobs[&id].attempt > a, "and all start over with a new attempt");
+fn a_gang_task_that_exits_alone() {
+    // Found on grown days: where an image takes longer to fetch than a gang may wait, a task that
+    // had it exited `alone`, its mates were stopped and gave their fetches up, over and over.
+    for (mate, ends) in [("pulling", false), ("waiting", true)] {
+        let mut c = cell();
+        let id = add_job(&mut c, "wk-1", |b| {
+            (b.shape, b.parcels, b.cpus) = (Shape::Gang, 2, 4.0);
+        });
+        commit(&mut c);
+        let from = |n: usize, tally, parcels: &[(&str, u64, &str)]| {
+            let mut r = report(1, tally, TERM, parcels);
+            r.hearth = format!("n-{n}");
+            r
+        };
+        exchange(&mut c, &from(1, 1, &[]), T0);
+        exchange(&mut c, &from(2, 1, &[]), T0);
+        let a = runs(&exchange(&mut c, &from(1, 2, &[]), T0))[0].1;
+        let second = runs(&exchange(&mut c, &from(2, 2, &[]), T0))[0].0.clone();
+        let first = if second == "wk-1/0" { "wk-1/1" } else { "wk-1/0" };
+        exchange(&mut c, &from(2, 3, &[(&second, a, mate)]), T0 + 1000);
+        let orders = exchange(&mut c, &from(1, 3, &[(first, a, "ended:alone")]), T0 + 31_000);
+        if ends {
+            assert_eq!(c.direct.len(), 1, "its mate is halted at once");
+            c.on_report(&from(2, 4, &[(&second, a, "ended:halted")]), T0 + 32_000);
+            c.place(T0 + 32_000);
+            assert!(c.jobs[&id].attempt > a, "and all start over with a new attempt");
+            continue;
+        }
+        // It is forgotten and started again where it was, with the attempt of its mates.
+        assert!(c.direct.is_empty() && c.jobs[&id].attempt == a);
+        let (parcel, attempt) = (first.to_string(), a);
+        let again = [
+            Order::Forget { parcel: parcel.clone(), attempt },
+            Order::Run { parcel: parcel.clone(), attempt },
+        ];
+        assert_eq!(orders, again);
+        // The response was lost: the same report once more gets the same orders.
+        let orders = exchange(&mut c, &from(1, 4, &[(first, a, "ended:alone")]), T0 + 35_000);
+        assert_eq!(orders, again);
+        exchange(&mut c, &from(1, 5, &[(first, a, "waiting")]), T0 + 36_000);
+        c.check();
+        // A mate that fetches for far too long does end the attempt.
+        c.on_report(&from(1, 6, &[(first, a, "ended:alone")]), T0 + 900_000);
+        assert_eq!(c.direct.len(), 1);
+    }
 }
 
 #[test]
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -494,12 +494,41 @@
         }
         if p.cause.as_deref() != Some("done") {
             self.lost_task(id);
-            // A gang's task that exits by itself (alone, refused, failed) ends the attempt for all:
-            // its mates would only wait out their time.
-            if spec.shape == crate::jobs::Shape::Gang {
-                self.stop_all(id, now, 0.0);
+            if spec.shape != crate::jobs::Shape::Gang {
+                return;
+            }
+            if p.cause.as_deref() == Some("alone") && self.mates_fetch(id, now) {
+                // Its image is there, its place is kept, and a replacement may join the attempt
+                // until the last of its mates has fetched. Stopping them all would give up their
+                // fetches: where an image takes longer than a gang may wait, for ever.
+                if let Some(m) = self.machines.get_mut(&mid) {
+                    m.reserved = Some((id, now + crate::placement::RESERVE_MS));
+                }
+                return;
+            }
+            // Any other task that exits by itself (refused, failed) ends the attempt for all: its
+            // mates would only wait out their time.
+            self.stop_all(id, now, 0.0);
+        }
+    }
+
+    /// Is a gang that has not started still fetching its image somewhere, and not for far too
+    /// long?
+    fn mates_fetch(&self, id: JobId, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|j| !j.started && j.open()) else { return false };
+        let mut fetching = false;
+        for m in self.machines.values() {
+            let fetch = job.spec.image_gb / self.flavors[m.kind.ix()].fetch_gb_per_s;
+            let most = 60_000 + (fetch.min(3600.0) * 4000.0) as u64;
+            for (_, e) in m.entries.range((id, 0)..=(id, u32::MAX)) {
+                if e.stop.is_some() || e.inherited {
+                    return false;
+                }
+                let on_way = matches!(e.seen, Seen::Not | Seen::Pulling);
+                fetching |= on_way && now < e.assigned_at + most;
             }
         }
+        fetching
     }
 
     /// Tells a faulty machine from a job with a mistake: a machine on which different jobs fail,
