--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -88,6 +88,8 @@
     number: u32,
     ver: u64,
     retry_at: u64,
+    /// A call for it is under way.
+    asking: bool,
     resolved: bool,
 }
 
@@ -152,7 +154,7 @@
     /// A rental that an earlier leader may have asked for: asked again under the same name, it
     /// gets the same answer.
     pub fn inherit(&mut self, name: &str, what: Kind, number: u32) {
-        let rental = Rental { what, number, ver: 0, retry_at: 0, resolved: false };
+        let rental = Rental { what, number, ver: 0, retry_at: 0, asking: false, resolved: false };
         self.rentals.insert(name.into(), rental);
     }
 
@@ -424,18 +426,36 @@
             let name = format!("r-{}-{}", self.fleet.term, self.fleet.counter);
             let ver = self.touch(Key::Rental(name.clone()));
             let number = number.min(50);
-            let rental = Rental { what, number, ver, retry_at: 0, resolved: false };
+            let rental = Rental { what, number, ver, retry_at: 0, asking: false, resolved: false };
             self.fleet.rentals.insert(name, rental);
         }
     }
 
-    /// A rental that may be asked for now.
-    pub fn due_rental(&self, now: u64) -> Option<(String, RentalRecord)> {
-        let (name, _) = self.fleet.rentals.iter().find(|(name, r)| {
-            let key = Key::Rental((*name).clone());
-            !r.resolved && now >= r.retry_at && (r.ver == 0 || self.is_saved(&key, r.ver))
-        })?;
-        Some((name.clone(), self.fleet.record(name, &self.names)?))
+    /// Up to `most` rentals that may be asked for now; they count as being asked for.
+    pub fn due_rentals(&mut self, now: u64, most: usize) -> Vec<(String, RentalRecord)> {
+        let due = |name: &String, r: &Rental| {
+            let key = Key::Rental(name.clone());
+            let safe = r.ver == 0 || self.is_saved(&key, r.ver);
+            !r.resolved && !r.asking && now >= r.retry_at && safe
+        };
+        let names = self.fleet.rentals.iter().filter(|(name, r)| due(name, r));
+        let names: Vec<String> = names.map(|(name, _)| name.clone()).take(most).collect();
+        let mut out = vec![];
+        for name in names {
+            let Some(record) = self.fleet.record(&name, &self.names) else { continue };
+            if let Some(r) = self.fleet.rentals.get_mut(&name) {
+                r.asking = true;
+            }
+            out.push((name, record));
+        }
+        out
+    }
+
+    /// No answer to a rental: it is asked for again under the same name.
+    pub fn rental_unanswered(&mut self, name: &str, now: u64) {
+        if let Some(r) = self.fleet.rentals.get_mut(name) {
+            (r.asking, r.retry_at) = (false, now + 1000);
+        }
     }
 
     pub fn rented(&mut self, name: &str, hearths: Option<Vec<String>>, now: u64) {
@@ -688,58 +708,121 @@
     }
 }
 
-/// The leader's dealings with the cloud: one call at a time, paced below its limit.
+/// Calls to the cloud that may be made now: paced below its limit, with room for a burst.
+#[derive(Debug)]
+pub struct Pace {
+    rps: f64,
+    tokens: f64,
+    at: u64,
+}
+
+impl Pace {
+    pub fn new(rps: f64, now: u64) -> Pace {
+        // An earlier leader may just have used up what a burst allows.
+        Pace { rps, tokens: rps, at: now }
+    }
+
+    /// The cloud allows two seconds' worth at once; a second's worth is left alone.
+    pub fn refill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = now;
+        self.tokens = (self.tokens + passed * self.rps * 0.8).min(self.rps.max(1.0));
+    }
+
+    pub fn left(&self) -> usize {
+        self.tokens.max(0.0) as usize
+    }
+
+    pub fn take(&mut self) -> bool {
+        let some = self.tokens >= 1.0;
+        if some {
+            self.tokens -= 1.0;
+        }
+        some
+    }
+}
+
+async fn rent(node: Arc<Node>, term: u64, name: String, record: RentalRecord) {
+    let answer = node.cloud.rent(&name, &record).await;
+    let now = node.now();
+    match answer {
+        Ok(hearths) => {
+            node.with_cell(term, |c, _| c.rented(&name, hearths, now));
+        }
+        Err(e) => {
+            tracing::debug!("rental {name}: {e}");
+            node.with_cell(term, |c, _| c.rental_unanswered(&name, now));
+        }
+    }
+    node.kick();
+}
+
+async fn give_back(node: Arc<Node>, term: u64, names: Vec<String>) {
+    if node.cloud.give_back(&names).await {
+        node.with_cell(term, |c, _| c.returned(&names));
+        node.kick();
+    }
+}
+
+async fn take_list(node: Arc<Node>, term: u64) {
+    if let Some(hosts) = node.cloud.list().await {
+        let now = node.now();
+        node.with_cell(term, |c, _| c.listed(&hosts, now));
+        node.kick();
+    }
+}
+
+const STEP: Duration = Duration::from_millis(150);
+const LIST_MS: u64 = 2500;
+
+/// The leader's dealings with the cloud. Returns go first, since they may free tasks, then
+/// rentals, several at once; dropped with the term, which any answer that comes later is held
+/// against.
 pub async fn run(node: Arc<Node>, term: u64) {
-    let gap = Duration::from_secs_f64(1.25 / node.settings.deployment.cloud.rps);
+    let mut pace = Pace::new(node.settings.deployment.cloud.rps, node.now());
+    let mut rentals = tokio::task::JoinSet::new();
+    let (mut returning, mut listing) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
     let mut listed = 0u64;
     loop {
-        tokio::time::sleep(gap).await;
+        tokio::time::sleep(STEP).await;
+        let now = node.now();
+        pace.refill(now);
+        while rentals.try_join_next().is_some() {}
+        while returning.try_join_next().is_some() {}
+        while listing.try_join_next().is_some() {}
         if node.with_cell(term, |c, lead| lead && c.fleet.provided.is_none()) == Some(true) {
-            if let Some(n) = survey(&node, term).await {
+            if pace.take()
+                && let Some(n) = survey(&node, term).await
+            {
                 tracing::info!("{n} machines are provided");
                 node.with_cell(term, |c, _| c.fleet.provided = Some(n));
             }
             continue;
         }
-        let now = node.now();
+        let (idle, left) = (returning.is_empty(), pace.left());
         let plan = node.with_cell(term, |c, lead| {
-            if lead {
-                c.plan_returns(now);
-                c.plan_rentals(now);
+            if !lead || left == 0 {
+                return (vec![], vec![]);
             }
-            let rent = if lead { c.due_rental(now) } else { None };
-            (if lead { c.due_returns() } else { vec![] }, rent)
+            c.plan_returns(now);
+            c.plan_rentals(now);
+            let back = if idle { c.due_returns() } else { vec![] };
+            let most = left - usize::from(!back.is_empty());
+            (back, c.due_rentals(now, most))
         });
-        let Some((back, rent)) = plan else { return };
+        let Some((back, rent_now)) = plan else { return };
         node.kick();
-        if !back.is_empty() {
-            if node.cloud.give_back(&back).await {
-                node.with_cell(term, |c, _| c.returned(&back));
-            }
-        } else if let Some((name, record)) = rent {
-            match node.cloud.rent(&name, &record).await {
-                Ok(hearths) => {
-                    let now = node.now();
-                    node.with_cell(term, |c, _| c.rented(&name, hearths, now));
-                }
-                Err(e) => {
-                    tracing::debug!("rental {name}: {e}");
-                    let now = node.now();
-                    node.with_cell(term, |c, _| {
-                        if let Some(r) = c.fleet.rentals.get_mut(&name) {
-                            r.retry_at = now + 1000;
-                        }
-                    });
-                }
-            }
-        } else if now > listed + 2500
-            && let Some(hosts) = node.cloud.list().await
-        {
+        if !back.is_empty() && pace.take() {
+            returning.spawn(give_back(node.clone(), term, back));
+        }
+        for (name, record) in rent_now {
+            pace.take();
+            rentals.spawn(rent(node.clone(), term, name, record));
+        }
+        if now > listed + LIST_MS && listing.is_empty() && pace.take() {
             listed = now;
-            let now = node.now();
-            node.with_cell(term, |c, _| c.listed(&hosts, now));
+            listing.spawn(take_list(node.clone(), term));
         }
-        node.kick();
     }
 }
 
@@ -768,4 +851,49 @@
             })
             .collect()
     }
+
+    #[test]
+    fn calls_are_paced_below_the_limit() {
+        // Several rentals go out at once, but never more than the cloud's burst allows, whatever
+        // an earlier leader has just used up.
+        let mut pace = Pace::new(5.0, 1000);
+        let burst = |p: &mut Pace| (0..100).filter(|_| p.take()).count();
+        assert_eq!(burst(&mut pace), 5);
+        let cases = [(1100, 0), (2100, 4), (60_000, 5)];
+        for (at, calls) in cases {
+            pace.refill(at);
+            assert_eq!(pace.left(), calls, "{at}");
+            assert_eq!(burst(&mut pace), calls, "{at}");
+        }
+        // A cloud with less than one call a second is still asked.
+        let mut slow = Pace::new(0.2, 0);
+        assert_eq!(burst(&mut slow), 0);
+        slow.refill(7_000);
+        assert_eq!(burst(&mut slow), 1);
+    }
+
+    #[test]
+    fn a_rental_is_asked_for_once_at_a_time_and_only_when_recorded() {
+        let mut c = crate::safety_tests::cell();
+        c.fleet.provided = Some(0);
+        let kind = (TypeId(0), ZoneId(0), false);
+        for name in ["r-7-1", "r-7-2", "r-7-3"] {
+            let ver = c.touch(Key::Rental(name.into()));
+            let rental =
+                Rental { what: kind, number: 2, ver, retry_at: 0, asking: false, resolved: false };
+            c.fleet.rentals.insert(name.into(), rental);
+        }
+        assert!(c.due_rentals(0, 9).is_empty(), "not before they are recorded");
+        while let Some(batch) = c.batch(16) {
+            c.applied(&batch, 100);
+        }
+        let asked: Vec<String> = c.due_rentals(0, 2).into_iter().map(|(n, _)| n).collect();
+        assert_eq!(asked, ["r-7-1", "r-7-2"]);
+        assert_eq!(c.due_rentals(0, 9).len(), 1);
+        assert!(c.due_rentals(0, 9).is_empty());
+        // No answer: the same name again, after a pause.
+        c.rental_unanswered("r-7-1", 1000);
+        assert!(c.due_rentals(1500, 9).is_empty());
+        assert_eq!(c.due_rentals(2000, 9)[0].0, "r-7-1");
+    }
 }
