Workers' reports wait for a leader; machine types from the record at a start

Ruled out: the reading of records (0.08 s), the old leader's lease (over by then). Change: a controller that neither leads nor reaches a leader holds a worker's report (not a user's) up to 1.6 s, then answers 421; machine types are read from the record first (4 ms, not 150 ms).

--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -23,14 +23,15 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         if node.state.lock().expect("lock").flavors.is_none() {
-            match node.cloud.flavors().await {
-                Some(f) if !f.is_empty() => node.state.lock().expect("lock").flavors = Some(f),
-                // The cloud may be in trouble just when all controllers start: the types that an
-                // earlier leader recorded will do.
-                _ => match node.store.get::<FlavorsRecord>(FLAVORS).await {
-                    Ok(Some((r, _))) => node.state.lock().expect("lock").flavors = Some(r.berths),
-                    _ => sleep(ms(500)).await,
-                },
+            // Workers' leases run while nobody leads: the types that an earlier leader recorded
+            // are at hand at once, also when the cloud is in trouble. They are brought up to date
+            // beside.
+            if let Ok(Some((r, _))) = node.store.get::<FlavorsRecord>(FLAVORS).await {
+                node.state.lock().expect("lock").flavors = Some(r.berths);
+                let node = node.clone();
+                tokio::spawn(async move { refresh_flavors(&node).await });
+            } else if !refresh_flavors(&node).await {
+                sleep(ms(500)).await;
             }
             continue;
         }
@@ -58,6 +59,17 @@
     }
 }
 
+/// Asks the cloud for the machine types and their prices, for this node's next term.
+async fn refresh_flavors(node: &Node) -> bool {
+    match node.cloud.flavors().await {
+        Some(f) if !f.is_empty() => {
+            node.state.lock().expect("lock").flavors = Some(f);
+            true
+        }
+        _ => false,
+    }
+}
+
 /// Raises the term and takes the leader key in one transaction. An unknown outcome is read back.
 async fn elect(node: &Node) -> Option<(u64, u64, u64, u64)> {
     let ttl = node.settings.tuning.leader_lease_ms;
--- a/src/node.rs
+++ b/src/node.rs
@@ -70,6 +70,12 @@
 const USER_LIMIT: Duration = Duration::from_millis(2500);
 const FORWARD: Duration = Duration::from_millis(1500);
 const REPORT_LIMIT: Duration = Duration::from_millis(1500);
+/// Workers wait 4 s for an answer: held, passed on and answered, a report stays below that.
+const REPORT_HELD: Duration = Duration::from_millis(1600);
+const REPORT_RETRY: Duration = Duration::from_millis(80);
+const REPORT_FORWARD: Duration = Duration::from_millis(1900);
+/// The answer of a node that neither leads nor reaches a leader.
+const NOT_ENTITLED: u16 = 421;
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
@@ -186,9 +192,26 @@
         if matches!(slot, Some(Err(_))) {
             return Reply::later("too many requests at once", 2);
         }
+        if op == Op::Report {
+            return self.report_at_the_door(body).await;
+        }
         self.serve(op, body, 2).await
     }
 
+    /// A worker whose report is turned away comes back a second later, and its lease may run out
+    /// meanwhile: while nobody leads (all have just started, or the leader was lost), its report
+    /// waits for a leader, as long as the worker still waits for the answer.
+    async fn report_at_the_door(&self, body: &[u8]) -> Reply {
+        let end = Instant::now() + REPORT_HELD;
+        loop {
+            let reply = self.serve(Op::Report, body, 2).await;
+            if reply.status != NOT_ENTITLED || Instant::now() >= end {
+                return reply;
+            }
+            tokio::time::sleep(REPORT_RETRY).await;
+        }
+    }
+
     /// Answers as leader, or passes the request on while it may be (`hops`).
     pub async fn serve(&self, op: Op, body: &[u8], hops: u8) -> Reply {
         if self.leading(op == Op::Report) {
@@ -200,7 +223,7 @@
             };
         }
         let limit = if op == Op::Show { Duration::from_millis(800) } else { FORWARD };
-        let limit = if op == Op::Report { Duration::from_millis(3000) } else { limit };
+        let limit = if op == Op::Report { REPORT_FORWARD } else { limit };
         if hops > 0
             && let Some(leader) = self.leader().filter(|l| *l != self.cluster.me)
             // What was passed on once goes straight to the leader, so that it can't go in circles.
@@ -213,6 +236,9 @@
         if op == Op::Show && hops == 2 {
             return self.show_from_store(body).await;
         }
+        if op == Op::Report {
+            return Reply::error(NOT_ENTITLED, "no leader within reach");
+        }
         Reply::later("no leader within reach", 1)
     }
 
@@ -421,7 +447,8 @@
         let Ok(report) = rmp_serde::from_slice::<Report>(body) else {
             return Reply::error(400, "malformed report");
         };
-        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        let none = Reply::error(NOT_ENTITLED, "no leader");
+        let Some(term) = self.term() else { return none };
         let now = self.now();
         let taken = self.with_cell(term, |c, lead| {
             let taken = c.on_report(&report, now);
@@ -442,12 +469,12 @@
                 return Reply::error(400, why);
             }
             Some(Taken::Stale) => return Reply::later("an older report", 1),
-            None => return Reply::later("no leader", 1),
+            None => return none,
         };
         let ready = |c: &mut Cell, lead: bool| (!lead || c.orders_ready(mid)).then_some(());
         self.until(term, REPORT_LIMIT, ready).await;
         if !self.leading(true) {
-            return Reply::later("no leader", 1);
+            return none;
         }
         let now = self.now();
         let at = (report.shift, report.tally);
