Nothing is rented in a zone that is dark, also after its machines have gone back

Ruled out: boots that fail, team limits (usage rose at once when the cut ended). Change: a dark zone stays dark until a report comes from it or a controller there is reached; every 45 s it gets one machine to see; machines on record that a new leader hasn't heard count as silent.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -205,6 +205,11 @@
         self.links.is_empty() || self.links.iter().any(|l| l.healthy(now))
     }
 
+    /// Is this member within reach over its own link?
+    pub fn links_to(&self, member: &str, now: u64) -> bool {
+        self.links.iter().any(|l| l.member == member && l.healthy(now))
+    }
+
     pub fn can_reach(&self, leader: usize, now: u64) -> bool {
         leader == self.me || self.way(leader, now, false).is_some()
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -107,6 +107,8 @@
     /// How many machines the operators have given the service, apart from what it rents itself.
     /// None until they were counted and recorded, before the very first rental.
     pub provided: Option<u32>,
+    /// By zone: since when nothing is heard from it, and when it was last tried nevertheless.
+    dark: HashMap<ZoneId, (u64, u64)>,
 }
 
 impl Fleet {
@@ -120,6 +122,7 @@
             back: BTreeMap::new(),
             gone: HashSet::new(),
             provided: None,
+            dark: HashMap::new(),
         }
     }
 
@@ -166,6 +169,8 @@
 
 /// What a machine costs at least, however soon it is given back.
 const MIN_CHARGE_MS: u64 = 60_000;
+/// How often a zone from which nothing is heard gets a machine nevertheless.
+const PROBE_MS: u64 = 45_000;
 
 impl Cell {
     /// How many tasks of the job should run at once to be in time: all of them where a deadline
@@ -189,19 +194,57 @@
         (f64::from(waiting) / rounds).ceil() as u32
     }
 
-    /// Zones from which nothing is heard though machines are up there: what is rented in them now
-    /// could not be used.
-    fn dark_zones(&self, now: u64) -> Vec<bool> {
+    /// Takes note of zones from which nothing is heard though machines should be up there: what is
+    /// rented in them could not be used. That a zone is dark outlasts its machines, which go back
+    /// once their leases have run out; it ends with a report from the zone, or with a controller
+    /// there that is reached (`reached`, by zone).
+    pub fn watch_zones(&mut self, reached: &[ZoneId], now: u64) {
         let silence = self.silence();
-        let mut heard = vec![(0, 0); self.names.zones.len()];
-        for m in self.machines.values().filter(|m| m.heard > 0) {
+        let mut heard = vec![(0, 0, 0); self.names.zones.len()];
+        for m in self.machines.values() {
             let z = &mut heard[m.zone.ix()];
             z.0 += 1;
-            z.1 += u32::from(now < m.heard + silence);
+            z.1 += u32::from(now < m.heard.max(self.taken) + silence);
+            z.2 = z.2.max(m.heard);
+        }
+        let quiet: Vec<bool> = heard.iter().map(|(up, well, _)| *up >= 2 && *well == 0).collect();
+        // With all of them quiet the fault is on this side.
+        let all = heard.iter().all(|(up, well, _)| *up == 0 || *well == 0);
+        for (i, (_, _, last)) in heard.iter().enumerate() {
+            let zone = ZoneId::from(i);
+            if quiet[i] && !all {
+                self.fleet.dark.entry(zone).or_insert((now, now));
+            } else if let Some((since, _)) = self.fleet.dark.get(&zone)
+                && (last > since || reached.contains(&zone))
+            {
+                self.fleet.dark.remove(&zone);
+            }
         }
-        let dark: Vec<bool> = heard.iter().map(|(up, well)| *up >= 2 && *well == 0).collect();
-        // With all of them dark the fault is on this side.
-        if dark.iter().all(|d| *d) { vec![false; dark.len()] } else { dark }
+    }
+
+    /// Zones in which nothing is rented for now.
+    fn dark_zones(&self) -> Vec<bool> {
+        (0..self.names.zones.len())
+            .map(|z| self.fleet.dark.contains_key(&ZoneId::from(z)))
+            .collect()
+    }
+
+    /// Now and then a dark zone gets one machine, to see whether it is heard.
+    fn probe(&mut self, now: u64) -> Option<(Kind, u32)> {
+        let (zone, _) = self
+            .fleet
+            .dark
+            .iter()
+            .map(|(zone, (_, tried))| (*zone, *tried))
+            .find(|(_, tried)| now > tried + PROBE_MS)?;
+        let cheapest =
+            |a: &usize, b: &usize| self.flavors[*a].hourly.total_cmp(&self.flavors[*b].hourly);
+        let there = |i: &usize| self.flavors[*i].zones.contains(&zone);
+        let kind = (0..self.flavors.len()).filter(there).min_by(cheapest)?;
+        if let Some((_, tried)) = self.fleet.dark.get_mut(&zone) {
+            *tried = now;
+        }
+        Some(((TypeId::from(kind), zone, false), 1))
     }
 
     /// What to rent now: the work that waits is laid onto free and booting machines in the order
@@ -245,7 +288,8 @@
                 }
             }
         }
-        for b in self.fleet.booting.values() {
+        let dark = self.dark_zones();
+        for b in self.fleet.booting.values().filter(|b| !dark[b.zone.ix()]) {
             slots.push(fresh((b.kind, b.zone, b.spot), u32::MAX));
         }
         for r in self.fleet.rentals.values().filter(|r| !r.resolved) {
@@ -253,7 +297,6 @@
                 slots.push(fresh(r.what, u32::MAX));
             }
         }
-        let dark = self.dark_zones(now);
         let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
         // By priority: a team's lower work makes way for its higher.
         let mut used = vec![[Usage::default(); 4]; self.usage.len()];
@@ -387,13 +430,14 @@
         if gap <= EPS || busy {
             return None;
         }
+        let dark = self.dark_zones();
         let mut best: Option<(f64, Kind, u32)> = None;
         for (i, f) in self.flavors.iter().enumerate() {
             let kind = TypeId::from(i);
             if f.cpus <= 0.0 {
                 continue;
             }
-            for zone in &f.zones {
+            for zone in f.zones.iter().filter(|z| !dark[z.ix()]) {
                 for spot in [false, true] {
                     let what = (kind, *zone, spot);
                     // Ordinary machines serve everybody; spot ones only if nothing else is left.
@@ -414,7 +458,9 @@
             return;
         }
         let mut wanted = self.demand(now);
-        if wanted.is_empty() {
+        if !wanted.is_empty() {
+            wanted.extend(self.probe(now));
+        } else {
             wanted.extend(self.standing_rental(now));
         }
         for (what, number) in wanted {
@@ -800,11 +846,14 @@
             continue;
         }
         let (idle, left) = (returning.is_empty(), pace.left());
+        let reached = node.reached_zones(now);
         let plan = node.with_cell(term, |c, lead| {
             if !lead || left == 0 {
                 return (vec![], vec![]);
             }
             c.plan_returns(now);
+            let zones: Vec<ZoneId> = reached.iter().filter_map(|z| c.names.zones.get(z)).collect();
+            c.watch_zones(&zones, now);
             c.plan_rentals(now);
             let back = if idle { c.due_returns() } else { vec![] };
             let most = left - usize::from(!back.is_empty());
--- a/src/node.rs
+++ b/src/node.rs
@@ -174,6 +174,13 @@
         state.reached > 0 && now < state.reached + 6000
     }
 
+    /// Zones of the controllers that are within reach, this one's included.
+    pub fn reached_zones(&self, now: u64) -> Vec<&str> {
+        let up = |m: &&crate::settings::Member| self.cluster.links_to(&m.member, now);
+        let others = self.settings.members.iter().filter(up).map(|m| m.zone.as_str());
+        others.chain([self.settings.zone.as_str()]).collect()
+    }
+
     fn leader(&self) -> Option<usize> {
         self.state.lock().expect("lock").leader.map(|(_, ix)| ix)
     }
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -565,3 +565,51 @@
     assert_eq!(c.provided(&listed), 2);
     assert_eq!(c.provided(&[]), 1);
 }
+
+#[test]
+fn nothing_is_rented_in_a_zone_from_which_nothing_is_heard() {
+    // Found on a grown day: once the machines of a zone that was cut off had gone back, new ones
+    // were rented there, seventy of them, and none was heard for two minutes.
+    let mut c = cell();
+    c.fleet.provided = Some(0);
+    let (north, south) = (ZoneId(0), ZoneId(1));
+    let at = |n: usize, zone: &str, tally| {
+        let mut r = report(1, tally, TERM, &[]);
+        (r.hearth, r.yard) = (format!("n-{n}"), zone.into());
+        r
+    };
+    for (n, zone) in [(1, "north"), (2, "south"), (3, "south")] {
+        c.on_report(&at(n, zone, 1), T0);
+    }
+    let zones = |c: &Cell| -> Vec<ZoneId> {
+        let mut zones: Vec<ZoneId> = c.demand(T0).iter().map(|((_, z, _), _)| *z).collect();
+        zones.dedup();
+        zones
+    };
+    add_job(&mut c, "wk-1", |b| (b.yard, b.parcels) = (Some("south".into()), 30));
+    commit(&mut c);
+    c.watch_zones(&[north], T0 + 1000);
+    assert_eq!(zones(&c), [south], "all is heard");
+    // Nobody at all is heard: the fault is on this side.
+    c.watch_zones(&[north], T0 + 60_000);
+    assert_eq!(zones(&c), [south]);
+    // Only the north is heard; that the south's machines have gone back changes nothing.
+    c.on_report(&at(1, "north", 2), T0 + 60_000);
+    c.watch_zones(&[north], T0 + 60_000);
+    assert!(zones(&c).is_empty());
+    c.returned(&["n-2".to_string(), "n-3".to_string()]);
+    c.watch_zones(&[north], T0 + 61_000);
+    assert!(zones(&c).is_empty());
+    // A controller there that is reached ends it, and so does a report from there.
+    c.watch_zones(&[north, south], T0 + 62_000);
+    assert_eq!(zones(&c), [south]);
+    for n in [4, 5] {
+        c.on_report(&at(n, "south", 1), T0 + 62_000);
+    }
+    c.on_report(&at(1, "north", 3), T0 + 90_000);
+    c.watch_zones(&[north], T0 + 90_000);
+    assert!(zones(&c).is_empty());
+    c.on_report(&at(4, "south", 2), T0 + 91_000);
+    c.watch_zones(&[north], T0 + 91_000);
+    assert_eq!(zones(&c), [south]);
+}
