--- a/src/cell.rs
+++ b/src/cell.rs
@@ -52,6 +52,25 @@
     pub cards: f64,
 }
 
+/// A team's usage by precedence, tasks of gangs apart: what may be stopped for whom.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Split {
+    pub single: [Usage; 4],
+    pub gang: [Usage; 4],
+}
+
+impl Split {
+    fn of(&mut self, spec: &Spec) -> &mut Usage {
+        let side = if spec.shape == Shape::Gang { &mut self.gang } else { &mut self.single };
+        &mut side[spec.precedence as usize]
+    }
+
+    pub fn at(&self, precedence: usize) -> Usage {
+        let (s, g) = (self.single[precedence], self.gang[precedence]);
+        Usage { cpus: s.cpus + g.cpus, cards: s.cards + g.cards }
+    }
+}
+
 /// One transaction about to be sent.
 #[derive(Debug)]
 pub struct Batch {
@@ -85,6 +104,7 @@
     pub machines: BTreeMap<MachineId, Machine>,
     pub by_name: HashMap<String, MachineId>,
     pub usage: Vec<Usage>,
+    pub split: Vec<Split>,
     /// In one placement pass: what of a team's limit is kept for a job served earlier.
     pub held: Vec<Usage>,
     pub finals: HashMap<Arc<str>, FinalRecord>,
@@ -124,6 +144,7 @@
                 micros: hdrhistogram::Histogram::new_with_max(60_000_000, 2).expect("valid bounds"),
             },
             usage: vec![Usage::default(); settings.deployment.teams.len()],
+            split: vec![Split::default(); settings.deployment.teams.len()],
             held: vec![Usage::default(); settings.deployment.teams.len()],
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
@@ -349,7 +370,7 @@
                 "queued"
             };
             let why = (status == "queued" || !job.waiting.is_empty())
-                .then(|| job.wait.text().to_string())
+                .then(|| self.why_waiting(id, job).text().to_string())
                 .filter(|w| !w.is_empty() && job.open());
             return Some(Shown {
                 uid: uid.into(),
@@ -397,6 +418,9 @@
         let usage = &mut self.usage[job.spec.team.ix()];
         usage.cpus += job.spec.cpus;
         usage.cards += job.spec.cards;
+        let part = self.split[job.spec.team.ix()].of(&job.spec);
+        part.cpus += job.spec.cpus;
+        part.cards += job.spec.cards;
     }
 
     /// Takes a task off a machine's list: it is proven not to be there.
@@ -431,6 +455,9 @@
         let usage = &mut self.usage[spec.team.ix()];
         usage.cpus = (usage.cpus - spec.cpus).max(0.0);
         usage.cards = (usage.cards - spec.cards).max(0.0);
+        let part = self.split[spec.team.ix()].of(&spec);
+        part.cpus = (part.cpus - spec.cpus).max(0.0);
+        part.cards = (part.cards - spec.cards).max(0.0);
         self.stir = true;
         self.settle(id);
         self.retire(id);
@@ -623,6 +650,8 @@
                 .map(|j| j.spec.cpus)
                 .sum();
             assert!((used - self.usage[t].cpus).abs() < 1e-6, "usage of {}", team.name);
+            let parts: f64 = (0..4).map(|p| self.split[t].at(p).cpus).sum();
+            assert!((used - parts).abs() < 1e-6, "parts of {}", team.name);
             assert!(used <= team.cpus_max + 1e-6, "limit of {}", team.name);
         }
         for job in self.jobs.values() {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: what to rent for the work that waits, what to give back, and the cloud's protocol.
 
-use crate::cell::{Cell, Key, Names, Usage};
+use crate::cell::{Cell, Key, Names, Split, Usage};
 use crate::http::{CallError, Client};
 use crate::jobs::{EPS, Shape, Spec};
 use crate::leadership::LEADER;
@@ -299,15 +299,8 @@
         }
         let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
         // By priority: a team's lower work makes way for its higher.
-        let mut used = vec![[Usage::default(); 4]; self.usage.len()];
-        for m in self.machines.values() {
-            for (id, _) in m.entries.keys() {
-                let Some(job) = self.jobs.get(id) else { continue };
-                let u = &mut used[job.spec.team.ix()][job.spec.precedence as usize];
-                u.cpus += job.spec.cpus;
-                u.cards += job.spec.cards;
-            }
-        }
+        let split = |s: &Split| -> [Usage; 4] { std::array::from_fn(|p| s.at(p)) };
+        let mut used: Vec<[Usage; 4]> = self.split.iter().map(split).collect();
         for r in self.ranked(now) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let spec = &job.spec;
@@ -820,6 +813,8 @@
 
 const STEP: Duration = Duration::from_millis(150);
 const LIST_MS: u64 = 2500;
+/// Plans look at all that waits and runs.
+const PLAN_MS: u64 = 450;
 
 /// The leader's dealings with the cloud. Returns go first, since they may free tasks, then
 /// rentals, several at once; dropped with the term, which any answer that comes later is held
@@ -828,7 +823,7 @@
     let mut pace = Pace::new(node.settings.deployment.cloud.rps, node.now());
     let mut rentals = tokio::task::JoinSet::new();
     let (mut returning, mut listing) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
-    let mut listed = 0u64;
+    let (mut listed, mut planned) = (0u64, 0u64);
     loop {
         tokio::time::sleep(STEP).await;
         let now = node.now();
@@ -851,6 +846,12 @@
             if !lead || left == 0 {
                 return (vec![], vec![]);
             }
+            if now < planned + PLAN_MS {
+                let back = if idle { c.due_returns() } else { vec![] };
+                let most = left - usize::from(!back.is_empty());
+                return (back, c.due_rentals(now, most));
+            }
+            planned = now;
             c.plan_returns(now);
             let zones: Vec<ZoneId> = reached.iter().filter_map(|z| c.names.zones.get(z)).collect();
             c.watch_zones(&zones, now);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -292,6 +292,8 @@
     pub placed_at: u64,
     /// Since when it has waited for room, for preemption and reservations.
     pub ready_at: u64,
+    /// When it next looks for others to make room, after it found none.
+    pub look_at: u64,
 }
 
 impl Job {
@@ -322,6 +324,7 @@
             preempted: 0,
             placed_at: 0,
             ready_at: 0,
+            look_at: 0,
         }
     }
 
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -403,6 +403,8 @@
             c.expire(now);
             if beat.is_multiple_of(5) {
                 c.stir = true;
+            }
+            if beat.is_multiple_of(20) {
                 c.spot_slow(now);
             }
             if lead && c.stir {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -6,6 +6,7 @@
 use crate::names::*;
 use crate::workers::Seen;
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 
 /// A machine with what is free on it.
 #[derive(Debug, Clone)]
@@ -39,6 +40,11 @@
         self.mem_gb -= spec.mem_gb * n;
     }
 
+    /// Does at least one task fit here, with nobody else's reservation in the way?
+    fn open_to(&self, spec: &Spec) -> bool {
+        self.reserved.is_none() && self.allowed(spec) && self.fits(spec) > 0
+    }
+
     pub fn allowed(&self, spec: &Spec) -> bool {
         (spec.spot || !self.spot)
             && spec.types.contains(&self.kind)
@@ -58,6 +64,43 @@
 type Victims = (f64, u32, Vec<(JobId, u32)>);
 
 pub const RESERVE_MS: u64 = 30_000;
+/// A job that found nobody to stop looks again after this long.
+const LOOK_MS: u64 = 1000;
+
+/// What one pass has found out: with these demands there is no place, and nobody to stop. Places
+/// only get fewer within a pass, so whoever needs at least as much need not look.
+#[derive(Default)]
+struct Full {
+    no_place: Vec<Arc<Spec>>,
+    no_victims: Vec<(Ranked, Arc<Spec>, u32)>,
+}
+
+impl Full {
+    /// Does `b` need at least what `a` needs, of machines that `a` may use as well?
+    fn covers(a: &Spec, b: &Spec) -> bool {
+        a.cpus <= b.cpus
+            && a.cards <= b.cards
+            && a.mem_gb <= b.mem_gb
+            && (a.spot || !b.spot)
+            && (a.zone.is_none() || a.zone == b.zone)
+            && b.types.iter().all(|t| a.types.contains(t))
+    }
+
+    fn has_no_place(&self, spec: &Spec) -> bool {
+        self.no_place.iter().any(|a| Self::covers(a, spec))
+    }
+
+    fn none_to_stop(&self, r: Ranked, spec: &Spec, need: u32) -> bool {
+        self.no_victims.iter().any(|(other, a, least)| {
+            let gang = |s: &Spec| s.shape == Shape::Gang;
+            Self::covers(a, spec)
+                && a.precedence <= spec.precedence
+                // An array takes what it gets; a gang found too little for all of it.
+                && (!gang(a) || (gang(spec) && *least <= need))
+                && (!r.guaranteed || (other.guaranteed && a.team == spec.team))
+        })
+    }
+}
 
 impl Cell {
     /// Open jobs in the order in which they are served: those within their team's guarantee first,
@@ -152,12 +195,10 @@
         let ranked = self.ranked(now);
         let mut slots = self.slots(now);
         let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
+        let mut full = Full::default();
         for r in &ranked {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             if job.waiting.is_empty() {
-                if job.running == 0 && !job.onto.is_empty() {
-                    self.note_wait(r.id);
-                }
                 continue;
             }
             if !self.is_saved(&crate::cell::Key::Job(r.id), job.accept_ver) {
@@ -167,17 +208,26 @@
                 continue;
             }
             let spec = job.spec.clone();
+            let need = job.waiting.len() as u32;
+            let plain = job.failed_on.is_empty()
+                && !spec.one_zone
+                && !spec.spread
+                && slots.iter().all(|s| s.reserved != Some(r.id));
+            let skip = plain && full.has_no_place(&spec);
             let wait = match spec.shape {
-                Shape::Gang => self.place_gang(r.id, &spec, &mut slots, now),
+                _ if skip && self.team_room(&spec) == 0 => Wait::TeamLimit,
+                Shape::Gang => self.place_gang(r.id, &spec, &mut slots, now, skip),
+                _ if skip => Wait::NoRoom,
                 _ => self.place_single(r.id, &spec, &mut slots, now),
             };
+            if wait == Wait::NoRoom && plain && !skip && !slots.iter().any(|s| s.open_to(&spec)) {
+                full.no_place.push(spec.clone());
+            }
             let Some(job) = self.jobs.get_mut(&r.id) else { continue };
             job.wait = wait;
             if wait == Wait::TeamLimit {
-                let there =
-                    |s: &Slot| s.reserved.is_none() && s.allowed(&spec) && s.fits(&spec) > 0;
                 if spec.shape != Shape::Gang
-                    && slots.iter().any(there)
+                    && slots.iter().any(|s| s.open_to(&spec))
                     && self.make_team_room(r.id, &spec, now)
                     && let Some(job) = self.jobs.get_mut(&r.id)
                 {
@@ -189,7 +239,26 @@
                 if job.ready_at == 0 {
                     job.ready_at = now;
                 }
-                if self.make_room(*r, &spec, &mut slots, &within, now) {
+                // Looking through all that runs is dear: a search that came to nothing is not
+                // repeated within a second, nor in this pass for those who could stop no more.
+                let kept = slots.iter().any(|s| s.reserved == Some(r.id));
+                let futile = now < job.look_at || (plain && full.none_to_stop(*r, &spec, need));
+                let found = if futile {
+                    kept
+                } else {
+                    let found = self.make_room(*r, &spec, &mut slots, &within, now);
+                    if !found {
+                        if let Some(job) = self.jobs.get_mut(&r.id) {
+                            job.look_at = now + LOOK_MS;
+                        }
+                        if plain && (spec.shape != Shape::Array || self.array_may_preempt(*r, now))
+                        {
+                            full.no_victims.push((*r, spec.clone(), need));
+                        }
+                    }
+                    found
+                };
+                if found {
                     if spec.shape != Shape::Array {
                         self.hold_limit(r.id, &spec);
                     }
@@ -203,8 +272,12 @@
         }
     }
 
-    /// Why a job whose tasks are all on machines still doesn't run.
-    fn note_wait(&mut self, id: JobId) {
+    /// Why a job waits. Looked up when somebody asks: where its tasks are all on machines and
+    /// still don't run, the machines tell.
+    pub fn why_waiting(&self, id: JobId, job: &Job) -> Wait {
+        if !job.waiting.is_empty() || job.running > 0 || job.onto.is_empty() {
+            return job.wait;
+        }
         let mut wait = Wait::Image;
         for m in self.machines.values() {
             for (_, e) in m.entries.range((id, 0)..=(id, u32::MAX)) {
@@ -216,9 +289,7 @@
                 }
             }
         }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.wait = wait;
-        }
+        wait
     }
 
     /// The machines a job may use now, the best first: where the index routed its tasks, with its
@@ -301,7 +372,14 @@
         Wait::NoRoom
     }
 
-    fn place_gang(&mut self, id: JobId, spec: &Spec, slots: &mut [Slot], now: u64) -> Wait {
+    fn place_gang(
+        &mut self,
+        id: JobId,
+        spec: &Spec,
+        slots: &mut [Slot],
+        now: u64,
+        no_place: bool,
+    ) -> Wait {
         let job = &self.jobs[&id];
         if !job.onto.is_empty() {
             // A replacement joins the attempt only while the others still wait for it.
@@ -321,6 +399,9 @@
         if !self.limit_within_reach(spec, need) {
             return Wait::TeamLimit;
         }
+        if no_place {
+            return Wait::NoRoom;
+        }
         let order = self.candidates(id, spec, slots);
         let Some(plan) = self.gang_plan(id, spec, slots, &order, need) else {
             return Wait::NoRoom;
@@ -428,19 +509,16 @@
         held.cards += spec.cards * n;
     }
 
-    /// Would the team's limit allow `n` tasks if all its lower work were stopped?
+    /// Would the team's limit allow `n` tasks if all its lower work were stopped? Gangs are not
+    /// stopped for it.
     fn limit_within_reach(&self, spec: &Spec, n: u32) -> bool {
         let team = &self.settings.deployment.teams[spec.team.ix()];
         let mut used = self.held[spec.team.ix()];
-        for m in self.machines.values() {
-            for id in m.entries.keys().map(|(id, _)| id) {
-                let Some(job) = self.jobs.get(id) else { continue };
-                let stays = job.spec.precedence <= spec.precedence || job.spec.shape == Shape::Gang;
-                if job.spec.team == spec.team && stays {
-                    used.cpus += job.spec.cpus;
-                    used.cards += job.spec.cards;
-                }
-            }
+        let split = &self.split[spec.team.ix()];
+        let above = &split.single[..=spec.precedence as usize];
+        for u in above.iter().chain(&split.gang) {
+            used.cpus += u.cpus;
+            used.cards += u.cards;
         }
         used.cpus + spec.cpus * f64::from(n) <= team.cpus_max + EPS
             && used.cards + spec.cards * f64::from(n) <= team.gpus_max + EPS
@@ -667,6 +745,13 @@
             let gang = if v.spec.shape == Shape::Gang { f64::from(v.spec.tasks) } else { 1.0 };
             list.push(((lost + 1.0) * v.spec.cpus * gang, *id, *task));
         }
+        let mut all = free.clone();
+        for (_, id, _) in &list {
+            all.take_back(&self.jobs.get(id)?.spec);
+        }
+        if all.fits(spec) == 0 {
+            return None;
+        }
         list.sort_by(|a, b| a.0.total_cmp(&b.0));
         let (mut cost, mut victims) = (0.0, vec![]);
         let mut best: Option<(f64, u32, usize)> = None;
@@ -697,3 +782,69 @@
         self.mem_gb += spec.mem_gb;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::{JobBody, admit_shape};
+
+    fn spec(edit: fn(&mut JobBody)) -> Arc<Spec> {
+        let mut c = crate::safety_tests::cell();
+        let mut body = crate::jobs::tests::body("wk-1");
+        edit(&mut body);
+        let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
+        Arc::new(admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid"))
+    }
+
+    #[test]
+    fn a_vain_search_speaks_for_those_who_need_as_much_and_for_nobody_else() {
+        // Guards the leader's processor time: on a recorded day 120 jobs waited, each looked
+        // through all that ran at every report, and leaders lost their leases one after another.
+        // Whoever could find something must still look.
+        type Edit = fn(&mut JobBody);
+        let failed = spec(|b| (b.cpus, b.precedence) = (4.0, Precedence::Normal));
+        let full = Full { no_place: vec![failed.clone()], no_victims: vec![] };
+        let cases: [(Edit, bool); 6] = [
+            (|b| b.cpus = 4.0, true),
+            (|b| b.cpus = 5.0, true),
+            (|b| b.cpus = 3.0, false),
+            (|b| (b.cpus, b.mem_gb) = (5.0, 0.5), false),
+            (|b| (b.cpus, b.yard) = (5.0, Some("south".into())), true),
+            (|b| (b.cpus, b.loaners) = (5.0, true), true),
+        ];
+        for (i, (edit, skip)) in cases.into_iter().enumerate() {
+            assert_eq!(full.has_no_place(&spec(edit)), skip, "place {i}");
+        }
+        // What may use spot machines looks for itself after one that may not.
+        let strict = spec(|b| (b.cpus, b.loaners) = (4.0, false));
+        let full = Full { no_place: vec![strict], no_victims: vec![] };
+        assert!(!full.has_no_place(&spec(|b| (b.cpus, b.loaners) = (5.0, true))));
+
+        let ranked = |guaranteed| Ranked { id: JobId(1), guaranteed };
+        let gang = |b: &mut JobBody| {
+            (b.shape, b.parcels, b.cpus, b.precedence) = (Shape::Gang, 3, 4.0, Precedence::Normal);
+        };
+        let full = Full { no_place: vec![], no_victims: vec![(ranked(false), spec(gang), 3)] };
+        let cases: [(Edit, u32, bool, bool); 6] = [
+            (gang, 3, false, true),
+            (gang, 2, false, false),
+            (gang, 4, false, true),
+            // Within its guarantee it may stop what others run beyond theirs.
+            (gang, 3, true, false),
+            (
+                |b| {
+                    (b.shape, b.parcels, b.cpus, b.precedence) =
+                        (Shape::Gang, 3, 4.0, Precedence::High);
+                },
+                3,
+                false,
+                false,
+            ),
+            (|b| (b.cpus, b.precedence) = (4.0, Precedence::Normal), 3, false, false),
+        ];
+        for (i, (edit, need, guaranteed, skip)) in cases.into_iter().enumerate() {
+            let s = spec(edit);
+            assert_eq!(full.none_to_stop(ranked(guaranteed), &s, need), skip, "victims {i}");
+        }
+    }
+}
