Without a way to the leader a controller closes its users' connections, and soon isn't healthy

Ruled out: changes of the leader (two), the slow state service (95th percentile 95 ms). Change: healthy for 2.5 s without a leader within reach (a lease's length), and that 503 closes the connection, so that the next try is balanced anew. Answered at once as before, with Retry-After.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -263,6 +263,7 @@
                             status: h.status.get(),
                             retry_after: h.retry_after.get(),
                             body,
+                            close: false,
                         });
                     }
                 }
--- a/src/front.rs
+++ b/src/front.rs
@@ -23,6 +23,9 @@
     if reply.retry_after > 0 {
         r = r.header("retry-after", reply.retry_after);
     }
+    if reply.close {
+        r = r.header("connection", "close");
+    }
     r.body(reply.body)
 }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -19,16 +19,19 @@
     pub status: u16,
     pub retry_after: u16,
     pub body: Vec<u8>,
+    /// Another controller may know more: the connection is closed, so that the next try is
+    /// balanced anew.
+    pub close: bool,
 }
 
 impl Reply {
     pub fn new<T: serde::Serialize>(status: u16, value: &T) -> Reply {
-        Reply { status, retry_after: 0, body: encode(value) }
+        Reply { status, retry_after: 0, body: encode(value), close: false }
     }
 
     pub fn error(status: u16, why: &str) -> Reply {
         let body = std::collections::BTreeMap::from([("error", why)]);
-        Reply { status, retry_after: 0, body: encode(&body) }
+        Reply { status, retry_after: 0, body: encode(&body), close: false }
     }
 
     /// Nobody can answer truthfully now: come back in `s` seconds.
@@ -74,6 +77,9 @@
 const REPORT_HELD: Duration = Duration::from_millis(1600);
 const REPORT_RETRY: Duration = Duration::from_millis(80);
 const REPORT_FORWARD: Duration = Duration::from_millis(1900);
+/// A node that has reached no leader for this long is of no use to users: long enough for a new
+/// leader to be there after a crash.
+const UP_MS: u64 = 2500;
 /// The answer of a node that neither leads nor reaches a leader.
 const NOT_ENTITLED: u16 = 421;
 
@@ -159,7 +165,10 @@
 
     /// Can requests be taken: is a leader within reach, or was one until a moment ago?
     pub fn up(&self) -> bool {
-        let now = self.now();
+        self.up_at(self.now())
+    }
+
+    fn up_at(&self, now: u64) -> bool {
         let mut state = self.state.lock().expect("lock");
         let reach = if state.cell.is_some() {
             self.authority(&state, now)
@@ -171,7 +180,7 @@
         if reach {
             state.reached = now;
         }
-        state.reached > 0 && now < state.reached + 6000
+        state.reached > 0 && now < state.reached + UP_MS
     }
 
     /// Zones of the controllers that are within reach, this one's included.
@@ -246,7 +255,7 @@
         if op == Op::Report {
             return Reply::error(NOT_ENTITLED, "no leader within reach");
         }
-        Reply::later("no leader within reach", 1)
+        Reply { close: true, ..Reply::later("no leader within reach", 1) }
     }
 
     /// Waits until `f` yields something of the cell of this term, or the limit.
@@ -536,4 +545,25 @@
         state.top_term = term + 1;
         assert!(!node.authority(&state, 10_001) && !node.holding(&state, 10_001));
     }
+
+    #[test]
+    fn a_node_without_a_way_to_the_leader_soon_sends_its_users_elsewhere() {
+        // Found on grown days: while controllers could not reach one another, two of three kept
+        // their users for six seconds and more, and turned each request away.
+        let node = Node::new(crate::settings::tests::sample());
+        assert!(!node.up_at(5_000), "never reached a leader");
+        let other = 1 - node.cluster.me;
+        {
+            let mut state = node.state.lock().expect("lock");
+            (state.leader, state.reached) = (Some((3, other)), 10_000);
+        }
+        for (at, up) in [(11_000, true), (12_400, true), (12_600, false)] {
+            assert_eq!(node.up_at(at), up, "{at}");
+        }
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("runtime").block_on(async {
+            let show = node.ask(Op::Cancel, b"wk-1").await;
+            assert_eq!((show.status, show.retry_after, show.close), (503, 1, true));
+        });
+    }
 }
