--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -422,8 +422,10 @@
         let settings = crate::settings::tests::sample();
         let mut names = Names::new(&settings);
         let flavors = crate::fleet::tests::flavors(&mut names);
-        let cases: [(Option<&str>, Edit); 9] = [
+        let cases: [(Option<&str>, Edit); 10] = [
             (None, |_| ()),
+            // A team with neither guarantee nor limit is served like any other.
+            (None, |b| (b.owner, b.parcels, b.cpus) = ("guest".into(), 100_000, 0.25)),
             (Some("team"), |b| b.owner = "green".into()),
             (Some("zone"), |b| b.yard = Some("west".into())),
             (Some("type"), |b| b.cpus = 33.0),
--- a/src/node.rs
+++ b/src/node.rs
@@ -350,8 +350,14 @@
             c.flavors = flavors;
             let spec = match spec {
                 Ok(spec) => spec,
-                Err(e @ Refusal::Never(_)) => return Err(Reply::error(422, &e.to_string())),
-                Err(e) => return Err(Reply::error(400, &e.to_string())),
+                Err(e @ Refusal::Never(_)) => {
+                    tracing::info!("refuse {uid}: {e}");
+                    return Err(Reply::error(422, &e.to_string()));
+                }
+                Err(e) => {
+                    tracing::info!("refuse {uid}: {e}");
+                    return Err(Reply::error(400, &e.to_string()));
+                }
             };
             let open: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
             if open + spec.tasks as usize > c.settings.most_tasks() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -65,14 +65,31 @@
     pub name: String,
     #[serde(default)]
     pub cpus: f64,
-    #[serde(default)]
+    #[serde(default = "unlimited", deserialize_with = "limit")]
     pub cpus_max: f64,
     #[serde(default)]
     pub gpus: f64,
-    #[serde(default)]
+    #[serde(default = "unlimited", deserialize_with = "limit")]
     pub gpus_max: f64,
 }
 
+impl Team {
+    /// Nothing is guaranteed to it: it takes what is left.
+    pub fn is_guest(&self) -> bool {
+        self.cpus <= 0.0 && self.gpus <= 0.0
+    }
+}
+
+fn unlimited() -> f64 {
+    f64::INFINITY
+}
+
+/// A limit of 0 means none, as a guarantee of 0 does.
+fn limit<'de, D: serde::Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
+    let most = f64::deserialize(d)?;
+    Ok(if most == 0.0 { f64::INFINITY } else { most })
+}
+
 #[derive(Debug, Clone, Deserialize)]
 pub struct Objective {
     pub kind: String,
@@ -222,7 +239,8 @@
         }
         for t in &d.teams {
             for v in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
-                if !(v.is_finite() && v >= 0.0) {
+                let limit = v == f64::INFINITY && v != t.cpus && v != t.gpus;
+                if !(limit || (v.is_finite() && v >= 0.0)) {
                     let why = format!("`{}`: must be 0 or more, is {v}", t.name);
                     return Err(SettingsError::Invalid("deployment.teams", why));
                 }
@@ -298,7 +316,7 @@
 [deployment]
 zones = ["north", "south"]
 clock_off_ms = 5.0
-teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }, { name = "blue", cpus = 8.0, cpus_max = 32.0 }]
+teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }, { name = "blue", cpus = 8.0, cpus_max = 32.0 }, { name = "guest" }]
 objectives = [{ kind = "wait", class = "steady", within_s = 40.0 }, { kind = "finished", class = "steady", within_s = 90.0 }]
 [deployment.workers]
 report_s = 1.0
@@ -332,6 +350,9 @@
             ("txn_ops = 16", "txn_ops = 1", "txn_ops"),
             ("zones = [\"north\", \"south\"]", "zones = []", "zones"),
             ("cpus = 16.0", "cpus = -2.0", "teams"),
+            ("cpus = 16.0", "cpus = inf", "teams"),
+            ("cpus_max = 64.0", "cpus_max = -1.0", "teams"),
+            ("cpus_max = 64.0", "cpus_max = nan", "teams"),
             ("write_rps = 60.0", "write_rps = 0.0", "write_rps"),
         ];
         for (from, to, field) in cases {
@@ -345,6 +366,23 @@
         assert!(sample().check().is_ok());
     }
 
+    #[test]
+    fn a_limit_of_0_is_none() {
+        // Found on recorded days: a guest team's settings hold nothing but its name, and each of
+        // its submissions was refused as more than its limit.
+        for (from, to, most, guest) in [
+            ("cpus = 16.0, cpus_max = 64.0", "cpus = 16.0, cpus_max = 64.0", 64.0, false),
+            ("cpus = 16.0, cpus_max = 64.0", "cpus = 0.0, cpus_max = 0.0", f64::INFINITY, true),
+            (", cpus = 16.0, cpus_max = 64.0", "", f64::INFINITY, true),
+            ("cpus = 16.0, cpus_max = 64.0", "cpus_max = 12.0", 12.0, true),
+        ] {
+            let s: Settings = toml::from_str(&SAMPLE.replace(from, to)).expect(to);
+            assert!(s.check().is_ok(), "{to}");
+            let red = &s.deployment.teams[0];
+            assert_eq!((red.cpus_max, red.is_guest()), (most, guest), "{to}");
+        }
+    }
+
     #[test]
     fn operators_file_refuses_unknown_keys() {
         assert_eq!(parse_tuning("rejection_cost: 0.5").unwrap().rejection_cost, 0.5);
