--- a/src/node.rs
+++ b/src/node.rs
@@ -378,6 +378,18 @@
                     return Err(Reply { retry_after: 10, ..reply });
                 }
             };
+            tracing::debug!(
+                "take in {uid}: {} {} of {}, {:?} {:?}, {} tasks of {} cpus, {} GB image, due in {:?} s",
+                if spec.spot { "spot" } else { "ordinary" },
+                job.lot,
+                job.owner,
+                spec.shape,
+                spec.precedence,
+                spec.tasks,
+                spec.cpus,
+                spec.image_gb,
+                spec.deadline_s,
+            );
             let id = c.insert_job(spec, job, Self::wall_ms(), now as i64);
             let ver = c.touch(crate::cell::Key::Job(id));
             if let Some(j) = c.jobs.get_mut(&id) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -104,11 +104,11 @@
 
 impl Cell {
     /// Open jobs in the order in which they are served: those within their team's guarantee first,
-    /// then by precedence. Among equals, those that can still be in time and have the least work
+    /// those of teams without one last, then by precedence. Among equals, those that can still be in time and have the least work
     /// left go first; a job that has waited for three times its span goes before all of them.
     pub fn ranked(&self, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.usage.len()];
-        let mut out: Vec<(bool, Precedence, u8, u64, u64, JobId)> = Vec::new();
+        let mut out: Vec<(bool, bool, Precedence, u8, u64, u64, JobId)> = Vec::new();
         for (at, id) in &self.order {
             let Some(job) = self.jobs.get(id) else { continue };
             let team = &self.settings.deployment.teams[job.spec.team.ix()];
@@ -117,7 +117,7 @@
             sum.1 += job.spec.cards * f64::from(job.left());
             let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
             let (turn, work) = self.turn(job, now);
-            out.push((!within, job.spec.precedence, turn, work, *at, *id));
+            out.push((!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id));
         }
         out.sort_unstable();
         out.into_iter().map(|(g, .., id)| Ranked { id, guaranteed: !g }).collect()
@@ -594,7 +594,9 @@
         within: &HashMap<JobId, bool>,
         now: u64,
     ) -> bool {
-        if spec.shape == Shape::Array && !self.array_may_preempt(r, now) {
+        // Until then an array within its guarantee stops guests only.
+        let patient = spec.shape == Shape::Array && !self.array_may_preempt(r, now);
+        if patient && !(r.guaranteed && self.guests_run()) {
             return false;
         }
         let Some(job) = self.jobs.get(&r.id) else { return false };
@@ -641,7 +643,8 @@
             if taken || barred || !s.allowed(spec) {
                 continue;
             }
-            if let Some((cost, n, victims)) = self.victims(r, spec, s, within, need, now) {
+            if let Some((cost, n, victims)) = self.victims((r, patient), spec, s, within, need, now)
+            {
                 let image = if s.images.contains(&spec.image) { 0.0 } else { spec.image_gb * 50.0 };
                 plans.push(((cost + image) / f64::from(n), i, n, victims));
             }
@@ -693,6 +696,12 @@
         any
     }
 
+    /// Does any team without a guarantee have work on machines?
+    fn guests_run(&self) -> bool {
+        let teams = &self.settings.deployment.teams;
+        teams.iter().zip(&self.usage).any(|(t, u)| t.is_guest() && (u.cpus > 0.0 || u.cards > 0.0))
+    }
+
     /// An array within its guarantee may preempt once it has waited a third of what the
     /// guarantee's objective allows.
     fn array_may_preempt(&self, r: Ranked, now: u64) -> bool {
@@ -712,7 +721,7 @@
     /// the work lost, in CPU seconds.
     fn victims(
         &self,
-        r: Ranked,
+        (r, patient): (Ranked, bool),
         spec: &Spec,
         slot: &Slot,
         within: &HashMap<JobId, bool>,
@@ -728,12 +737,14 @@
                 free.take_back(&v.spec);
                 continue;
             }
-            let lower = v.spec.precedence > spec.precedence;
+            let guest = |s: &Spec| self.settings.deployment.teams[s.team.ix()].is_guest();
+            // Guests take what is left, and stop each other's work only.
+            let lower = v.spec.precedence > spec.precedence && (!guest(spec) || guest(&v.spec));
             let beyond = r.guaranteed
                 && v.spec.team != spec.team
                 && !within.get(id).copied().unwrap_or(true)
                 && v.spec.precedence >= spec.precedence;
-            if !(lower || beyond) {
+            if !(lower || beyond) || (patient && !guest(&v.spec)) {
                 continue;
             }
             let ran = if e.seen == Seen::Running {
