--- a/src/cell.rs
+++ b/src/cell.rs
@@ -136,6 +136,8 @@
     next_try: u64,
     /// Something changed that may let a task be placed.
     pub stir: bool,
+    /// When the last placement pass was.
+    pub passed: u64,
 }
 
 const FINALS_KEPT: usize = 3000;
@@ -185,6 +187,7 @@
             next_id: 0,
             next_try: 0,
             stir: true,
+            passed: 0,
         }
     }
 
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -411,7 +411,7 @@
             if beat.is_multiple_of(20) {
                 c.spot_slow(now);
             }
-            if lead && c.stir {
+            if lead && c.pass_pause(now) == Some(0) {
                 c.place(now);
             }
             // With no machines there is nobody to be heard.
--- a/src/node.rs
+++ b/src/node.rs
@@ -494,13 +494,7 @@
         let none = Reply::error(NOT_ENTITLED, "no leader");
         let Some(term) = self.term() else { return none };
         let now = self.now();
-        let taken = self.with_cell(term, |c, lead| {
-            let taken = c.on_report(&report, now);
-            if lead && c.stir {
-                c.place(now);
-            }
-            taken
-        });
+        let taken = self.with_cell(term, |c, _| c.on_report(&report, now));
         let mid = match taken {
             Some(Taken::Answer(mid)) => mid,
             Some(Taken::NewerTerm(t)) => {
@@ -515,6 +509,17 @@
             Some(Taken::Stale) => return Reply::later("an older report", 1),
             None => return none,
         };
+        // Passes are dear; reports that come in close to one another share one.
+        let pause = self.with_cell(term, |c, lead| c.pass_pause(now).filter(|_| lead)).flatten();
+        if let Some(pause) = pause {
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        let now = self.now();
+        self.with_cell(term, |c, lead| {
+            if lead && c.pass_pause(now) == Some(0) {
+                c.place(now);
+            }
+        });
         let ready = |c: &mut Cell, lead: bool| (!lead || c.orders_ready(mid)).then_some(());
         self.until(term, REPORT_LIMIT, ready).await;
         if !self.leading(true) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -64,6 +64,8 @@
 type Victims = (f64, u32, Vec<(JobId, u32)>);
 
 pub const RESERVE_MS: u64 = 30_000;
+/// Passes are at least this far apart.
+const PASS_MS: u64 = 50;
 /// A job that found nobody to stop looks again after this long.
 const LOOK_MS: u64 = 1000;
 
@@ -188,9 +190,15 @@
         room
     }
 
+    /// How long until the next pass is due, if there is anything to place.
+    pub fn pass_pause(&self, now: u64) -> Option<u64> {
+        self.stir.then(|| (self.passed + PASS_MS).saturating_sub(now))
+    }
+
     /// One pass: every waiting task that can be placed is put on a machine's list.
     pub fn place(&mut self, now: u64) {
         self.stir = false;
+        self.passed = now;
         self.held.fill(Usage::default());
         let ranked = self.ranked(now);
         let mut slots = self.slots(now);
@@ -807,6 +815,19 @@
         Arc::new(admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid"))
     }
 
+    #[test]
+    fn passes_are_shared_by_what_comes_in_together() {
+        // Guards the leader's processor time: with hundreds of guests' jobs waiting, a pass for
+        // each of 300 reports a second left none for the users, whose questions timed out.
+        let mut c = crate::safety_tests::cell();
+        c.place(1000);
+        assert_eq!(c.pass_pause(1000), None, "nothing has changed");
+        c.stir = true;
+        for (now, pause) in [(1000, PASS_MS), (1000 + PASS_MS - 1, 1), (1000 + PASS_MS, 0)] {
+            assert_eq!(c.pass_pause(now), Some(pause), "{now}");
+        }
+    }
+
     #[test]
     fn a_vain_search_speaks_for_those_who_need_as_much_and_for_nobody_else() {
         // Guards the leader's processor time: on a recorded day 120 jobs waited, each looked
