Jobs with a mistake are tried one task at a time and have no sound machine set aside

A failure now counts against a machine once its job is known to run elsewhere; until then the machine is used last. Ruled out: failures of the machines themselves.

--- a/src/cell.rs
+++ b/src/cell.rs
@@ -275,13 +275,16 @@
             return;
         }
         job.waiting.remove(&task);
-        job.failures = 0;
+        let proves = !job.proven && job.failures > 0;
         // A newer attempt of an array's task, if one is on its way, has nothing left to do.
         let again = job.spec.shape == Shape::Array && job.onto.contains_key(&task);
         let ver = self.touch(Key::Done(id, chunk));
         if let Some(job) = self.jobs.get_mut(&id) {
             job.unsaved.insert(task, ver);
         }
+        if proves {
+            self.prove(id, self.taken);
+        }
         if again {
             let on = |m: &Machine| m.entries.contains_key(&(id, task));
             let found: Vec<MachineId> =
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -317,7 +317,11 @@
             let quota =
                 room(team.cpus_max, cpus, spec.cpus).min(room(team.gpus_max, cards, spec.cards))
                     as u32;
-            let waiting = job.waiting.len() as u32;
+            let failing = job.is_failing() && spec.shape != Shape::Gang;
+            if failing && !job.onto.is_empty() {
+                continue;
+            }
+            let waiting = if failing { 1 } else { job.waiting.len() as u32 };
             let mut n = self.wanted(spec, waiting, r.guaranteed).min(quota);
             if spec.shape == Shape::Gang && n < waiting {
                 continue;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -244,7 +244,9 @@
             Wait::Booting => "waiting for a machine to boot",
             Wait::Image => "waiting for its image",
             Wait::Absence => "held until a machine that may still run it is heard of",
-            Wait::Backoff => "pausing after failures of its tasks",
+            Wait::Backoff => {
+                "its tasks fail wherever they start: tried again one at a time, pausing longer each time"
+            }
             Wait::Mates => "waiting until all its tasks are in place",
             Wait::Stopping => "waiting until its stopped tasks have left their machines",
         }
@@ -282,6 +284,12 @@
     /// Machines on which tasks of it failed, and until when it pauses.
     pub failed_on: HashMap<MachineId, u32>,
     pub failures: u32,
+    /// The longest that any of them ran before, in milliseconds.
+    pub longest_failure: u64,
+    /// It is known to run: what fails of it is not its own mistake.
+    pub proven: bool,
+    /// How often it has paused for failing everywhere, and until when it does.
+    pub pauses: u32,
     pub retry_at: u64,
     pub wait: Wait,
     /// Number and total run time of its finished tasks whose start was seen.
@@ -318,6 +326,9 @@
             started: false,
             failed_on: HashMap::new(),
             failures: 0,
+            longest_failure: 0,
+            proven: false,
+            pauses: 0,
             retry_at: 0,
             wait: Wait::Recording,
             runs: (0, 0.0),
@@ -341,6 +352,12 @@
         !self.cancelled() && !self.all_done()
     }
 
+    /// Its tasks have failed on one machine after the other, and none is known to run: it is tried
+    /// one task at a time.
+    pub fn is_failing(&self) -> bool {
+        !self.proven && self.done.is_empty() && (self.failed_on.len() >= 2 || self.failures >= 3)
+    }
+
     pub fn left(&self) -> u32 {
         self.spec.tasks - self.done.len() as u32
     }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -410,6 +410,7 @@
             }
             if beat.is_multiple_of(20) {
                 c.spot_slow(now);
+                c.judge(now);
             }
             if lead && c.pass_pause(now) == Some(0) {
                 c.place(now);
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -215,6 +215,9 @@
             if now < job.retry_at {
                 continue;
             }
+            if job.is_failing() && job.spec.shape != Shape::Gang && !job.onto.is_empty() {
+                continue;
+            }
             let spec = job.spec.clone();
             let need = job.waiting.len() as u32;
             let plain = job.failed_on.is_empty()
@@ -306,7 +309,10 @@
     fn candidates(&self, id: JobId, spec: &Spec, slots: &[Slot]) -> Vec<usize> {
         let Some(job) = self.jobs.get(&id) else { return vec![] };
         let sound = self.machines.len() > job.failed_on.len();
-        let mut out: Vec<(bool, bool, bool, i64, i64, usize)> = slots
+        let doubted = |s: &Slot| {
+            self.machines.get(&s.mid).is_some_and(|m| m.blamed > 0 || !m.accused.is_empty())
+        };
+        let mut out: Vec<(bool, bool, bool, bool, i64, i64, usize)> = slots
             .iter()
             .enumerate()
             .filter(|(_, s)| s.allowed(spec) && s.reserved.is_none_or(|r| r == id))
@@ -319,7 +325,8 @@
                 // The cheapest first, so that dear machines get free and can be given back.
                 let f = &self.flavors[s.kind.ix()];
                 let price = (f.price(s.spot) * self.share(spec, s.kind) * 1e6) as i64;
-                (!image, s.reserved.is_none(), !routed, price, (s.cpus * 1000.0) as i64, i)
+                let free = (s.cpus * 1000.0) as i64;
+                (doubted(s), !image, s.reserved.is_none(), !routed, price, free, i)
             })
             .collect();
         out.sort_unstable();
@@ -344,7 +351,8 @@
                 if quota == 0 {
                     return Wait::TeamLimit;
                 }
-                let most = if spec.shape == Shape::Service { 1 } else { u32::MAX };
+                let failing = self.jobs.get(&id).is_some_and(|j| j.is_failing());
+                let most = if failing || spec.shape == Shape::Service { 1 } else { u32::MAX };
                 let n = slots[i]
                     .fits(spec)
                     .min(left)
@@ -363,6 +371,9 @@
                 }
                 slots[i].take(spec, n);
                 placed = true;
+                if failing {
+                    return Wait::Backoff;
+                }
                 if spec.shape == Shape::Service {
                     break;
                 }
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -159,10 +159,10 @@
     ended: Vec<Ended>,
     /// Tasks it lists that belong to no open job.
     strays: Vec<(String, u64)>,
-    /// Failures of different jobs without a success in between.
-    pub errors: u32,
-    pub error_jobs: BTreeSet<JobId>,
-    pub successes: u32,
+    /// Failed tasks since its last success: of jobs that are known to run elsewhere, and of jobs
+    /// of which that is not known, whose own mistake it may be.
+    pub blamed: u32,
+    pub accused: BTreeMap<JobId, u32>,
     pub faulty: bool,
     /// Set aside for running its tasks slowly: what they can save is worth saving.
     pub slow: bool,
@@ -274,9 +274,8 @@
             cache_gb: f.cache_gb,
             ended: Vec::new(),
             strays: Vec::new(),
-            errors: 0,
-            error_jobs: BTreeSet::new(),
-            successes: 0,
+            blamed: 0,
+            accused: BTreeMap::new(),
             faulty: false,
             slow: false,
             leaving: false,
@@ -471,9 +470,8 @@
                     }
                 }
                 if let Some(m) = self.machines.get_mut(&mid) {
-                    m.errors = 0;
-                    m.error_jobs.clear();
-                    m.successes += 1;
+                    m.blamed = 0;
+                    m.accused.clear();
                 }
                 if spec.shape == crate::jobs::Shape::Gang {
                     // If one task of a gang is done, all are.
@@ -484,7 +482,11 @@
                     self.task_done(id, task);
                 }
             }
-            Some("error" | "no_such") => self.on_error(mid, id, now),
+            Some("error" | "no_such") => {
+                // Failed before it was ever seen to run: within the time between two reports.
+                let began = if entry.running_at > 0 { entry.running_at } else { now };
+                self.on_error(mid, id, now.saturating_sub(began), now);
+            }
             Some("full" | "busy") => {
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.retry_at = job.retry_at.max(now + 1000);
@@ -531,33 +533,86 @@
         fetching
     }
 
-    /// Tells a faulty machine from a job with a mistake: a machine on which different jobs fail,
-    /// or on which a job fails that runs elsewhere, is set aside; a job that fails on different
-    /// machines pauses, longer each time, and counts against no machine any more.
-    fn on_error(&mut self, mid: MachineId, id: JobId, now: u64) {
+    /// Tells a faulty machine from a job with a mistake. A failure counts against the machine once
+    /// its job is known to run elsewhere; until then it may be the job's own, and the machine is
+    /// only used last. A job that fails wherever it starts pauses, longer each time.
+    fn on_error(&mut self, mid: MachineId, id: JobId, ran: u64, now: u64) {
+        let proven = self.runs_well(id, now);
         let Some(job) = self.jobs.get_mut(&id) else { return };
         *job.failed_on.entry(mid).or_insert(0) += 1;
         job.failures += 1;
-        let on = job.failed_on.len();
-        let succeeds = !job.done.is_empty() || job.running > 0;
-        if on >= 2 && !succeeds {
-            let pause = 1000u64 << job.failures.min(5);
-            job.retry_at = now + pause;
+        job.longest_failure = job.longest_failure.max(ran);
+        if !job.proven && !proven && job.is_failing() && now >= job.retry_at {
+            job.pauses += 1;
+            job.retry_at = now + (1000 << job.pauses.min(5));
             job.wait = crate::jobs::Wait::Backoff;
+            if job.pauses == 1 {
+                tracing::info!("{} fails wherever it starts, pausing", job.spec.uid);
+            }
+        }
+        let was = job.proven;
+        if let Some(m) = self.machines.get_mut(&mid) {
+            if was {
+                m.blamed += 1;
+            } else {
+                *m.accused.entry(id).or_insert(0) += 1;
+            }
+        }
+        if was {
+            self.set_aside(mid, now);
+        } else if proven {
+            self.prove(id, now);
+        }
+    }
+
+    /// Does a task of this job run for clearly longer than any of its tasks took to fail?
+    fn runs_well(&self, id: JobId, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.running > 0) else { return false };
+        let report = (self.settings.deployment.workers.report_s * 1000.0) as u64;
+        let long = 2 * job.longest_failure.max(report) + 2000;
+        self.machines.values().any(|m| {
+            m.entries.range((id, 0)..=(id, u32::MAX)).any(|(_, e)| {
+                e.seen == Seen::Running && e.running_at > 0 && now > e.running_at + long
+            })
+        })
+    }
+
+    /// A job is known to run: where its tasks failed, the machine was at fault.
+    pub fn prove(&mut self, id: JobId, now: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.pauses > 0 {
+            tracing::info!("{} runs after {} failures", job.spec.uid, job.failures);
+        }
+        (job.proven, job.pauses, job.retry_at) = (true, 0, 0);
+        let on: Vec<MachineId> = job.failed_on.keys().copied().collect();
+        for mid in on {
+            if let Some(m) = self.machines.get_mut(&mid) {
+                m.blamed += m.accused.remove(&id).unwrap_or(0);
+            }
+            self.set_aside(mid, now);
+        }
+    }
+
+    /// Looks whether jobs of which tasks have failed run well by now.
+    pub fn judge(&mut self, now: u64) {
+        let open = |j: &&crate::jobs::Job| j.failures > 0 && !j.proven && j.open();
+        let doubtful: Vec<JobId> =
+            self.jobs.iter().filter(|(_, j)| open(j)).map(|(id, _)| *id).collect();
+        for id in doubtful {
+            if self.runs_well(id, now) {
+                self.prove(id, now);
+            }
         }
-        let suspect = on < 3 || succeeds;
+    }
+
+    fn set_aside(&mut self, mid: MachineId, now: u64) {
         let Some(m) = self.machines.get_mut(&mid) else { return };
-        if suspect {
-            m.errors += 1;
-            m.error_jobs.insert(id);
-        }
-        let faulty = m.error_jobs.len() >= 2 || (m.errors >= 2 && (succeeds || m.successes == 0));
-        if faulty && !m.faulty {
-            m.faulty = true;
-            let (name, errors) = (m.name.clone(), m.errors);
-            tracing::info!("quarantine {name}: {errors} failed tasks in a row");
-            self.drain(mid, now);
+        if m.blamed < 2 || m.faulty {
+            return;
         }
+        m.faulty = true;
+        tracing::info!("quarantine {}: {} failed tasks in a row", m.name, m.blamed);
+        self.drain(mid, now);
     }
 
     /// Sets machines aside on which every task runs far longer than its job's tasks did elsewhere:
