The start of a task whose image is there counts as seen

Cause: such a task is listed as running at once; its start counted as unseen, so classes with warm images got no run times, victims looked as if they had run since the takeover, and their places as if about to be free. Ruled out: tasks taken over, whose start stays unknown.

--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -376,6 +376,25 @@
     assert!(c.jobs.get(&jobs[0]).is_none_or(|j| j.onto.is_empty() && j.waiting.is_empty()));
 }
 
+#[test]
+fn a_start_is_seen_also_where_the_image_is_there() {
+    // Such a task is listed as running at once. Counted as unseen, classes whose images were on
+    // all machines never got a run time, and victims looked as if they had run for ever.
+    for (first, measured) in [("running", true), ("pulling", true), ("ended:done", false)] {
+        let (mut c, id, mid, attempt) = started();
+        for (tally, status, at) in [(3, first, 1_000), (4, "running", 2_000)] {
+            if first != "ended:done" {
+                c.on_report(&report(1, tally, TERM, &[("wk-1/0", attempt, status)]), T0 + at);
+            }
+        }
+        let class = c.jobs[&id].spec.class;
+        c.on_report(&report(1, 5, TERM, &[("wk-1/0", attempt, "ended:done")]), T0 + 12_000);
+        let got = c.rates.run_s(usize::MAX, class, 77.0);
+        assert_eq!(got < 77.0, measured, "{first}: {got}");
+        assert!(!may_be_there(&c, mid, id));
+    }
+}
+
 #[test]
 fn a_machine_on_which_fails_what_runs_elsewhere_is_set_aside() {
     // (seen running elsewhere for so long, or done there; faulty)
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -431,7 +431,7 @@
             return;
         };
         e.attempt = e.attempt.max(attempt);
-        e.inherited = false;
+        let taken_over = std::mem::take(&mut e.inherited);
         let was = e.seen;
         e.seen = seen;
         if !open && e.stop.is_none() {
@@ -442,8 +442,9 @@
                 job.running += 1;
                 job.started = true;
                 job.wait = crate::jobs::Wait::Nothing;
-                // A run time is only known for a task whose start was seen.
-                e.running_at = if was == Seen::Not { 0 } else { now };
+                // When a task started is not known if an earlier leader had it started. One whose
+                // image is there starts right away: the report before did not list it yet.
+                e.running_at = if taken_over { 0 } else { now };
             } else if seen != Seen::Running && was == Seen::Running {
                 job.running = job.running.saturating_sub(1);
             }
