Overdue boots are replaced where machines of the type come up in time elsewhere

It now counts for half as long again as nominal or lately seen; beyond that others are rented, in places that are well, at most a quarter as many as there are, and none where all are late.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -148,7 +148,7 @@
             }
             load[p] += (m.used_cpus / m.cpus).max(m.used_mem / m.mem_gb);
         }
-        for b in self.fleet.booting.values() {
+        for b in self.coming(now) {
             if spec.spot || !b.spot {
                 machines[self.pool(b.zone, b.kind)] += 1.0;
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::store::{Change, Cond, Outcome, ProvidedRecord, Record, RentalRecord};
 use crate::workers::Seen;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,6 +107,10 @@
     /// How many machines the operators have given the service, apart from what it rents itself.
     /// None until they were counted and recorded, before the very first rental.
     pub provided: Option<u32>,
+    /// Boots lately seen: when they ended and how long they took, in milliseconds.
+    boots: HashMap<(TypeId, ZoneId), VecDeque<(u64, u64)>>,
+    /// How many boots were overdue when that was last looked at; for the log.
+    pub overdue: usize,
     /// By zone: since when nothing is heard from it, and when it was last tried nevertheless.
     dark: HashMap<ZoneId, (u64, u64)>,
 }
@@ -122,13 +126,32 @@
             back: BTreeMap::new(),
             gone: HashSet::new(),
             provided: None,
+            boots: HashMap::new(),
+            overdue: 0,
             dark: HashMap::new(),
         }
     }
 
     /// A machine reports: it boots no more. Since when it is paid for, if that is known.
-    pub fn came_up(&mut self, name: &str) -> Option<u64> {
-        self.booting.remove(name).map(|b| b.since)
+    pub fn came_up(&mut self, name: &str, now: u64) -> Option<u64> {
+        let b = self.booting.remove(name)?;
+        let seen = self.boots.entry((b.kind, b.zone)).or_default();
+        seen.push_back((now, now.saturating_sub(b.since)));
+        if seen.len() > BOOTS {
+            seen.pop_front();
+        }
+        Some(b.since)
+    }
+
+    /// How long a boot may take before it is overdue: half as long again as the nominal time, or
+    /// as what was lately seen of this type in this zone, if that is longer.
+    fn patience(&self, kind: TypeId, zone: ZoneId, nominal_s: f64, now: u64) -> u64 {
+        let nominal = (nominal_s * 1000.0) as u64;
+        let seen = self.boots.get(&(kind, zone)).into_iter().flatten();
+        let lately = seen.filter(|(at, _)| now < at + BOOTS_MS).map(|(_, took)| *took);
+        let (n, sum) = lately.fold((0u64, 0u64), |(n, sum), took| (n + 1, sum + took));
+        let seen = sum.checked_div(n).unwrap_or(0);
+        nominal.max(seen.min(nominal * 5)) * 3 / 2 + 1000
     }
 
     /// Has the cloud confirmed that this machine is gone? Names are never used again.
@@ -167,6 +190,11 @@
     }
 }
 
+/// Boots that are remembered of each type and zone, and for how long.
+const BOOTS: usize = 8;
+const BOOTS_MS: u64 = 300_000;
+/// A place where boots are overdue counts as this much dearer.
+const LATE: f64 = 1.5;
 /// What a machine costs at least, however soon it is given back.
 const MIN_CHARGE_MS: u64 = 60_000;
 /// How often a zone from which nothing is heard gets a machine nevertheless.
@@ -229,6 +257,52 @@
             .collect()
     }
 
+    /// Machines whose boot is overdue, and the places where none has come up in time since.
+    pub fn overdue(&self, now: u64) -> (Vec<&str>, HashSet<(TypeId, ZoneId)>) {
+        let (mut names, mut places) = (vec![], HashSet::new());
+        for (name, b) in &self.fleet.booting {
+            let nominal = self.flavors[b.kind.ix()].boot_s;
+            let due = b.since + self.fleet.patience(b.kind, b.zone, nominal, now);
+            if now > due {
+                names.push(name.as_str());
+                let seen = self.fleet.boots.get(&(b.kind, b.zone));
+                if seen.and_then(|s| s.back()).is_none_or(|(at, _)| *at < due) {
+                    places.insert((b.kind, b.zone));
+                }
+            }
+        }
+        (names, places)
+    }
+
+    /// Booting machines that work may count on. One that is overdue is replaced where machines of
+    /// its type still come up in time somewhere; where they do nowhere, its replacement would be
+    /// as late, and a flood of them would only have to be paid for.
+    pub fn coming(&self, now: u64) -> Vec<&Booting> {
+        let (overdue, late) = self.overdue(now);
+        let elsewhere = |b: &Booting| {
+            let zones = &self.flavors[b.kind.ix()].zones;
+            let sound =
+                |z: &&ZoneId| !late.contains(&(b.kind, **z)) && !self.fleet.dark.contains_key(*z);
+            zones.iter().any(|z| sound(&z))
+        };
+        let others = self.machines.len() + self.fleet.booting.len() - overdue.len();
+        let overdue: HashSet<&str> = overdue.into_iter().take(others / 4 + 1).collect();
+        let booting = self.fleet.booting.iter();
+        let counts = |name: &str, b: &Booting| !overdue.contains(name) || !elsewhere(b);
+        booting.filter(|(name, b)| counts(name, b)).map(|(_, b)| b).collect()
+    }
+
+    /// Tells operators when boots begin and cease to be overdue.
+    pub fn watch_boots(&mut self, now: u64) {
+        let n = self.overdue(now).0.len();
+        if n > 0 && self.fleet.overdue == 0 {
+            tracing::warn!("{n} machines are overdue: others are rented in their stead");
+        } else if n == 0 && self.fleet.overdue > 0 {
+            tracing::info!("no machine is overdue any more");
+        }
+        self.fleet.overdue = n;
+    }
+
     /// Now and then a dark zone gets one machine, to see whether it is heard.
     fn probe(&mut self, now: u64) -> Option<(Kind, u32)> {
         let (zone, _) = self
@@ -289,7 +363,8 @@
             }
         }
         let dark = self.dark_zones();
-        for b in self.fleet.booting.values().filter(|b| !dark[b.zone.ix()]) {
+        let (_, late) = self.overdue(now);
+        for b in self.coming(now).into_iter().filter(|b| !dark[b.zone.ix()]) {
             slots.push(fresh((b.kind, b.zone, b.spot), u32::MAX));
         }
         for r in self.fleet.rentals.values().filter(|r| !r.resolved) {
@@ -360,7 +435,8 @@
                         }
                         let each = fresh(what, 0).fits(spec).max(1);
                         let machines = n.div_ceil(each);
-                        let price = f64::from(machines) * f.price(spot).max(1e-6);
+                        let late = if late.contains(&(*kind, *zone)) { LATE } else { 1.0 };
+                        let price = f64::from(machines) * f.price(spot).max(1e-6) * late;
                         let busy = out.get(&what).copied().unwrap_or(0) as usize;
                         if best.is_none_or(|(p, b, ..)| (price, busy) < (p, b)) {
                             best = Some((price, busy, what, machines, each));
@@ -404,7 +480,7 @@
     }
 
     /// CPUs to be kept less those that are up or coming.
-    fn standing_gap(&self) -> f64 {
+    fn standing_gap(&self, now: u64) -> f64 {
         if !self.boots_late() {
             return f64::MIN;
         }
@@ -412,7 +488,8 @@
         let want = guarantees * self.settings.tuning.standing;
         let up: f64 =
             self.machines.values().filter(|m| !m.faulty && !m.leaving).map(|m| m.cpus).sum();
-        let coming = self.fleet.booting.values().map(|b| (b.kind, 1));
+        let booting = self.coming(now);
+        let coming = booting.iter().map(|b| (b.kind, 1));
         let asked = self.fleet.rentals.values().filter(|r| !r.resolved);
         let coming: f64 = coming
             .chain(asked.map(|r| (r.what.0, r.number)))
@@ -422,12 +499,13 @@
     }
 
     fn standing_rental(&self, now: u64) -> Option<(Kind, u32)> {
-        let gap = self.standing_gap();
+        let gap = self.standing_gap(now);
         let busy = self.fleet.rentals.values().any(|r| !r.resolved);
         if gap <= EPS || busy {
             return None;
         }
         let dark = self.dark_zones();
+        let (_, late) = self.overdue(now);
         let mut best: Option<(f64, Kind, u32)> = None;
         for (i, f) in self.flavors.iter().enumerate() {
             let kind = TypeId::from(i);
@@ -438,7 +516,8 @@
                 for spot in [false, true] {
                     let what = (kind, *zone, spot);
                     // Ordinary machines serve everybody; spot ones only if nothing else is left.
-                    let price = f.hourly / f.cpus + if spot { 1e6 } else { 0.0 };
+                    let late = if late.contains(&(kind, *zone)) { LATE } else { 1.0 };
+                    let price = f.hourly * late / f.cpus + if spot { 1e6 } else { 0.0 };
                     let number = (gap / f.cpus).ceil().clamp(1.0, 8.0) as u32;
                     if !self.fleet.paused(&what, now) && best.is_none_or(|b| price < b.0) {
                         best = Some((price, what, number));
@@ -581,7 +660,7 @@
             }
         }
         let mut back = vec![];
-        let mut spare = -self.standing_gap();
+        let mut spare = -self.standing_gap(now);
         for (mid, m) in &self.machines {
             if self.lease_over(m, now) {
                 back.push((*mid, "its lease has run out"));
@@ -859,6 +938,7 @@
             c.plan_returns(now);
             let zones: Vec<ZoneId> = reached.iter().filter_map(|z| c.names.zones.get(z)).collect();
             c.watch_zones(&zones, now);
+            c.watch_boots(now);
             c.plan_rentals(now);
             let back = if idle { c.due_returns() } else { vec![] };
             let most = left - usize::from(!back.is_empty());
@@ -926,6 +1006,39 @@
         assert_eq!(burst(&mut slow), 1);
     }
 
+    #[test]
+    fn overdue_boots_are_replaced_where_others_come_up_in_time() {
+        // Told by operators: machines came up late or never, and the work meant for them waited:
+        // what was booting counted as coming for ever.
+        let mut c = crate::safety_tests::cell();
+        let (small, north, south) = (TypeId(0), ZoneId(0), ZoneId(1));
+        let boot = |c: &mut Cell, name: &str, zone: ZoneId, since: u64| {
+            let b = Booting { kind: small, zone, spot: false, since, listed: 0, missed: 0 };
+            c.fleet.booting.insert(name.into(), b);
+        };
+        boot(&mut c, "n-1", north, 0);
+        // Nominally 20 s; so much and half as much again is usual.
+        for (now, coming) in [(20_000, 1), (31_000, 1), (31_001, 0), (100_000, 0)] {
+            assert_eq!(c.coming(now).len(), coming, "{now}");
+        }
+        // A boot seen since shows that the place is well, another is late all the same.
+        assert!(c.overdue(40_000).1.contains(&(small, north)));
+        // Where the type comes up in time nowhere, replacements would be as late.
+        boot(&mut c, "n-2", south, 1_000);
+        assert_eq!(c.coming(40_000).len(), 2);
+        // One comes up at last. What is lately seen counts: others may take as long.
+        c.fleet.came_up("n-2", 61_000);
+        boot(&mut c, "n-3", south, 70_000);
+        // The one that never came is given back in the end.
+        c.plan_returns(121_000);
+        assert_eq!(c.due_returns(), ["n-1"]);
+        c.returned(&["n-1".into()]);
+        for (now, coming) in [(150_000, 1), (161_001, 0)] {
+            let of_south = |b: &&Booting| b.zone == south;
+            assert_eq!(c.coming(now).into_iter().filter(of_south).count(), coming, "{now}");
+        }
+    }
+
     #[test]
     fn a_rental_is_asked_for_once_at_a_time_and_only_when_recorded() {
         let mut c = crate::safety_tests::cell();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,8 @@
     let machines = figure("machines", "Machines, by type, zone and state");
     let waiting = figure("queue_tasks", "Waiting tasks routed to each pool");
     let index = figure("queue_index", "Chance that one more one-slot task misses the default span");
+    let boots = figure("boots", "Machines that boot, and of them those overdue");
+    let failing = figure("jobs_failing", "Jobs whose tasks fail wherever they start");
     let usage = figure("team_cpus", "CPUs that tasks of each team may be using");
     let dirty = figure("records_dirty", "Records not yet at the state service");
     let writes = figure("store_writes", "Puts and deletes sent in this term");
@@ -68,6 +70,12 @@
             ];
             machines.get_or_create(&labels).inc();
         }
+        let overdue = c.overdue(now).0.len();
+        for (state, n) in [("all", c.fleet.booting.len()), ("overdue", overdue)] {
+            boots.get_or_create(&vec![("state", state.into())]).set(n as f64);
+        }
+        let fail = c.jobs.values().filter(|j| j.open() && j.is_failing()).count();
+        failing.get_or_create(&none).set(fail as f64);
         let span = c.settings.tuning.default_span_s;
         for (z, zone) in (0..c.names.zones.len()).map(|z| (z, c.names.zones.name(z))) {
             for (k, flavor) in c.flavors.iter().enumerate() {
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -315,7 +315,7 @@
                 self.add_machine(&r.hearth, &r.addr, kind, zone, r.loaners, now)
             }
         };
-        let rented = self.fleet.came_up(&r.hearth);
+        let rented = self.fleet.came_up(&r.hearth, now);
         let Some(m) = self.machines.get_mut(&mid) else { return Taken::Stale };
         m.rented = rented.unwrap_or(m.rented);
         if (r.shift, r.tally) <= m.last {
