--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,6 +41,11 @@
     let dirty = figure("records_dirty", "Records not yet at the state service");
     let writes = figure("store_writes", "Puts and deletes sent in this term");
     let latency = figure("commit_seconds", "Time that transactions of this term took");
+    let refused = figure("refused_requests", "Requests of users refused for being too many");
+    for (why, n) in crate::node::REFUSALS.iter().zip(&node.refused) {
+        let n = n.load(std::sync::atomic::Ordering::Relaxed) as f64;
+        refused.get_or_create(&vec![("many", (*why).into())]).set(n);
+    }
     let (seen, leads) = node.standing();
     let none: Labels = vec![];
     term.get_or_create(&none).set(seen as f64);
--- a/src/node.rs
+++ b/src/node.rs
@@ -2,12 +2,13 @@
 
 use crate::cell::{Cell, Names, shown_final};
 use crate::cluster::{Cluster, Op, PeerView};
-use crate::fleet::{Cloud, Flavor, WireFlavor};
+use crate::fleet::{Cloud, Flavor, Pace, WireFlavor};
 use crate::http::{Client, encode};
 use crate::jobs::{self, Refusal, Shown};
 use crate::settings::Settings;
 use crate::store::{FinalRecord, JobRecord, Store};
 use crate::workers::{Report, Taken};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -66,10 +67,22 @@
     pub changed: watch::Sender<u64>,
     pub dirty: Notify,
     users: Semaphore,
+    questions: Semaphore,
+    /// Look-ups at the state service on behalf of users.
+    lookups: Mutex<Pace>,
+    /// Requests refused for being too many, by what was bounded; for the metrics.
+    pub refused: [AtomicU64; 3],
 }
 
-/// Requests of users that are served at the same time.
-const USERS: usize = 128;
+/// What a request was refused for, as the metrics name it.
+pub const REFUSALS: [&str; 3] = ["requests at once", "questions at once", "look-ups"];
+
+/// Submissions and cancellations that are served at the same time, and questions, which are many
+/// and must not crowd those out.
+const USERS: usize = 64;
+const QUESTIONS: usize = 96;
+/// The part of the state service's rate that all controllers together spend on users' look-ups.
+const LOOKUPS: f64 = 0.3;
 const USER_LIMIT: Duration = Duration::from_millis(2500);
 const FORWARD: Duration = Duration::from_millis(1500);
 const REPORT_LIMIT: Duration = Duration::from_millis(1500);
@@ -85,6 +98,8 @@
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
+        let share = settings.deployment.state.rps * LOOKUPS;
+        let lookups = Pace::new(share / (settings.members.len() + 1) as f64, 0);
         Node {
             cluster: Cluster::new(&settings),
             store: Store::new(settings.endpoints.state.clone()),
@@ -96,6 +111,9 @@
             changed: watch::Sender::new(0),
             dirty: Notify::new(),
             users: Semaphore::new(USERS),
+            questions: Semaphore::new(QUESTIONS),
+            lookups: Mutex::new(lookups),
+            refused: Default::default(),
         }
     }
 
@@ -204,9 +222,10 @@
     pub async fn ask(&self, op: Op, body: &[u8]) -> Reply {
         // More at once than can be served in time is refused at once, but workers' reports, on
         // which their leases hang, never wait behind users.
-        let slot = (op != Op::Report).then(|| self.users.try_acquire());
+        let (slots, why) = if op == Op::Show { (&self.questions, 1) } else { (&self.users, 0) };
+        let slot = (op != Op::Report).then(|| slots.try_acquire());
         if matches!(slot, Some(Err(_))) {
-            return Reply::later("too many requests at once", 2);
+            return self.too_many(why);
         }
         if op == Op::Report {
             return self.report_at_the_door(body).await;
@@ -214,6 +233,18 @@
         self.serve(op, body, 2).await
     }
 
+    fn too_many(&self, why: usize) -> Reply {
+        self.refused[why].fetch_add(1, Ordering::Relaxed);
+        Reply::later(&format!("too many {}", REFUSALS[why]), 2)
+    }
+
+    /// May users' questions cost the state service `n` more requests now?
+    fn may_look_up(&self, n: usize) -> bool {
+        let mut pace = self.lookups.lock().expect("lock");
+        pace.refill(self.now());
+        pace.left() >= n && (0..n).all(|_| pace.take())
+    }
+
     /// A worker whose report is turned away comes back a second later, and its lease may run out
     /// meanwhile: while nobody leads (all have just started, or the leader was lost), its report
     /// waits for a leader, as long as the worker still waits for the answer.
@@ -296,14 +327,17 @@
     }
 
     /// Looks an id up that is not in memory: final jobs leave it. Err: no answer.
-    async fn past(&self, term: u64, uid: &str) -> Result<Option<FinalRecord>, ()> {
+    async fn past(&self, term: u64, uid: &str) -> Result<Option<FinalRecord>, Reply> {
+        if !self.may_look_up(1) {
+            return Err(self.too_many(2));
+        }
         match self.store.get::<FinalRecord>(&format!("f/{uid}")).await {
             Ok(Some((record, _))) => {
                 self.with_cell(term, |c, _| c.remember_final(uid.into(), record.clone()));
                 Ok(Some(record))
             }
             Ok(None) => Ok(None),
-            Err(_) => Err(()),
+            Err(_) => Err(Reply::later("the state service does not answer", 1)),
         }
     }
 
@@ -324,7 +358,7 @@
                     Ok(Some(f)) => Reply::new(200, &shown_final(&uid, &f)),
                     Ok(None) if self.known(term, &uid).is_none() => refusal,
                     Ok(None) => self.accepted(term, &uid, 200).await,
-                    Err(()) => Reply::later("the state service does not answer", 1),
+                    Err(later) => later,
                 },
                 None => refusal,
             },
@@ -431,7 +465,8 @@
             Ok(None) if self.leading(false) && self.known(term, uid).is_none() => {
                 self.show_from_store(body).await
             }
-            _ => Reply::later("no certain answer", 1),
+            Ok(None) => Reply::later("no certain answer", 1),
+            Err(later) => later,
         }
     }
 
@@ -441,6 +476,9 @@
         if !jobs::valid_uid(uid) {
             return Reply::error(404, "unknown job");
         }
+        if !self.may_look_up(2) {
+            return self.too_many(2);
+        }
         let later = Reply::later("no leader within reach", 1);
         // The open record is read first: a job moves from there to the final ones, never back.
         let open = match self.store.get::<JobRecord>(&format!("j/{uid}")).await {
@@ -569,6 +607,28 @@
         assert!(!node.authority(&state, 10_001) && !node.holding(&state, 10_001));
     }
 
+    #[test]
+    fn questions_neither_use_up_the_state_service_nor_crowd_out_submissions() {
+        // Found on an own day of sixty times as many questions: while nobody led each cost two
+        // look-ups, the state service refused all others too, and the next leader came 5 s later.
+        let node = Node::new(crate::settings::tests::sample());
+        // 250 requests a second, 0.3 of them for look-ups, two controllers; a burst of a second.
+        let burst = (0..100).filter(|_| node.may_look_up(2)).count();
+        assert_eq!(burst, 18);
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        runtime.expect("runtime").block_on(async {
+            while node.may_look_up(1) {}
+            let show = node.ask(Op::Show, b"wk-1").await;
+            assert_eq!((show.status, show.retry_after), (503, 2));
+            assert_eq!(node.refused[2].load(Ordering::Relaxed), 1);
+            let _asked = node.questions.acquire_many(QUESTIONS as u32).await;
+            let show = node.ask(Op::Show, b"wk-1").await;
+            assert_eq!((show.status, node.refused[1].load(Ordering::Relaxed)), (503, 1));
+            let cancel = node.ask(Op::Cancel, b"wk-1").await;
+            assert_eq!((cancel.status, node.refused[0].load(Ordering::Relaxed)), (503, 0));
+        });
+    }
+
     #[test]
     fn a_node_without_a_way_to_the_leader_soon_sends_its_users_elsewhere() {
         // Found on grown days: while controllers could not reach one another, two of three kept
