A leader that hears nobody gives way sooner; who lacks workers or state says so; new schedules

It now waits as long as peers and that many machines can be silent. tests/failures.rs plays leaders that stand still and go on, that reach no worker, and connections that work one way.

--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -35,7 +35,9 @@
             }
             continue;
         }
-        match node.store.get::<LeaderRecord>(LEADER).await {
+        let leader = node.store.get::<LeaderRecord>(LEADER).await;
+        node.state_service(leader.as_ref().err());
+        match leader {
             Ok(Some((record, _))) => {
                 let ix = node.cluster.members.iter().position(|m| *m == record.member);
                 node.heard_term(record.term, ix);
@@ -128,24 +130,15 @@
 /// no longer allowed, or when a newer term was seen.
 async fn renew(node: &Node, term: u64, lease: u64) -> &'static str {
     let ttl = node.settings.tuning.leader_lease_ms;
-    let mut failing = false;
     loop {
         let sent = node.now();
-        match node.store.extend(lease, ms(ttl / 3)).await {
-            Ok(true) => {
-                node.state.lock().expect("lock").renewed = sent;
-                if failing {
-                    tracing::info!("the state service answers again, term {term} goes on");
-                }
-                failing = false;
-            }
+        let extended = node.store.extend(lease, ms(ttl / 3)).await;
+        node.state_service(extended.as_ref().err());
+        let failing = extended.is_err();
+        match extended {
+            Ok(true) => node.state.lock().expect("lock").renewed = sent,
             Ok(false) => return "its lease has run out",
-            Err(e) => {
-                if !failing {
-                    tracing::warn!("renewing the lease of term {term}: {e}");
-                }
-                failing = true;
-            }
+            Err(_) => {}
         }
         let (renewed, top) = {
             let state = node.state.lock().expect("lock");
@@ -393,13 +386,19 @@
     }
 }
 
-/// A leader that has heard nobody for this long gives way.
-const ALONE_MS: u64 = 6000;
+/// A leader that has heard nobody for this long gives way: neither a peer, whose pongs come twice
+/// a second, nor any of its machines, each of which reports every `report_ms`.
+fn alone_ms(report_ms: u64, machines: usize) -> u64 {
+    2500 + report_ms * 3 / 2 / machines.max(1) as u64
+}
 
 /// What time brings: leases that run out, pauses that end, orders to send.
 async fn ticks(node: &Arc<Node>, term: u64) -> &'static str {
     let mut beat = 0u64;
     let mut heard = node.now();
+    let mut peers = heard;
+    let mut deaf = false;
+    let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
     loop {
         let now = node.now();
         beat += 1;
@@ -417,15 +416,25 @@
             }
             // With no machines there is nobody to be heard.
             let report = c.machines.values().map(|m| m.heard).max().unwrap_or(now);
-            (std::mem::take(&mut c.direct), report)
+            (std::mem::take(&mut c.direct), report, c.machines.len())
         });
-        let Some((direct, report)) = direct else { return "superseded" };
-        // A leader that reaches the state service but nobody else is of no use to anybody.
+        let Some((direct, report, machines)) = direct else { return "superseded" };
+        let alone = alone_ms(report_ms, machines);
         heard = heard.max(report);
+        if (now > heard + alone) != deaf {
+            deaf = !deaf;
+            if deaf {
+                tracing::warn!("no worker is heard, {machines} machines should be up");
+            } else {
+                tracing::info!("workers are heard again");
+            }
+        }
+        // A leader that reaches the state service but nobody else is of no use to anybody. What
+        // workers tell others comes over peers.
         if node.cluster.any_peer(now) {
-            heard = now;
+            peers = now;
         }
-        if now > heard + ALONE_MS {
+        if now > peers.max(heard) + alone {
             return "neither workers nor peers are heard";
         }
         for d in direct {
@@ -462,3 +471,18 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_leader_that_hears_nobody_gives_way_soon() {
+        // Six seconds before, whatever the deployment. One machine alone may be between reports.
+        for (report_ms, machines, ms) in
+            [(1000, 200, 2507), (4000, 200, 2530), (4000, 1, 8500), (3000, 0, 7000)]
+        {
+            assert_eq!(alone_ms(report_ms, machines), ms, "{machines} machines");
+        }
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -46,6 +46,14 @@
         let n = n.load(std::sync::atomic::Ordering::Relaxed) as f64;
         refused.get_or_create(&vec![("many", (*why).into())]).set(n);
     }
+    let reach =
+        figure("reaches", "1 if this controller reaches the state service, a peer, a leader");
+    let silent = figure("workers_silent_seconds", "Time since the leader last heard any worker");
+    let state_service = node.state.lock().expect("lock").no_state.is_none();
+    let peer = node.cluster.any_peer(node.now());
+    for (what, yes) in [("state", state_service), ("peer", peer), ("leader", node.up())] {
+        reach.get_or_create(&vec![("what", what.into())]).set(f64::from(u8::from(yes)));
+    }
     let (seen, leads) = node.standing();
     let none: Labels = vec![];
     term.get_or_create(&none).set(seen as f64);
@@ -75,6 +83,8 @@
             ];
             machines.get_or_create(&labels).inc();
         }
+        let heard = c.machines.values().map(|m| m.heard).max().unwrap_or(now);
+        silent.get_or_create(&none).set(now.saturating_sub(heard) as f64 / 1000.0);
         let overdue = c.overdue(now).0.len();
         for (state, n) in [("all", c.fleet.booting.len()), ("overdue", overdue)] {
             boots.get_or_create(&vec![("state", state.into())]).set(n as f64);
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,7 +6,7 @@
 use crate::http::{Client, encode};
 use crate::jobs::{self, Refusal, Shown};
 use crate::settings::Settings;
-use crate::store::{FinalRecord, JobRecord, Store};
+use crate::store::{FinalRecord, JobRecord, Store, StoreError};
 use crate::workers::{Report, Taken};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -53,6 +53,8 @@
     pub flavors: Option<Vec<WireFlavor>>,
     /// When this node could last reach a leader.
     pub reached: u64,
+    /// Since when the state service gives this node no answers.
+    pub no_state: Option<u64>,
 }
 
 pub struct Node {
@@ -201,6 +203,24 @@
         state.reached > 0 && now < state.reached + UP_MS
     }
 
+    /// Takes note of whether the state service answers this node, and tells when that changes.
+    pub fn state_service(&self, trouble: Option<&StoreError>) {
+        let now = self.now();
+        let mut state = self.state.lock().expect("lock");
+        match (trouble, state.no_state) {
+            (Some(e), None) => {
+                tracing::warn!("the state service is out of reach: {e}");
+                state.no_state = Some(now);
+            }
+            (None, Some(since)) => {
+                let s = now.saturating_sub(since) / 1000;
+                tracing::info!("the state service answers again, after {s} s");
+                state.no_state = None;
+            }
+            _ => {}
+        }
+    }
+
     /// Zones of the controllers that are within reach, this one's included.
     pub fn reached_zones(&self, now: u64) -> Vec<&str> {
         let up = |m: &&crate::settings::Member| self.cluster.links_to(&m.member, now);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,8 +3,9 @@
 //!
 //! The stand-ins follow the protocol: a store with conditional transactions, some of which are
 //! applied though nobody is told, or late; workers with tokens, sessions, leases and one report in
-//! flight; a network that delays, loses, duplicates and holds messages; leaders that crash, lose
-//! the store, or are cut off from some workers while a successor takes over.
+//! flight; a network that delays, loses, duplicates and holds messages, and connections that work in
+//! one direction only; leaders that crash, stand still and go on, lose the store alone, or are cut
+//! off from some workers or from all, while a successor takes over.
 
 use copperhaven::cell::{Batch, Cell, Key, Names};
 use copperhaven::fleet::Flavor;
@@ -85,6 +86,10 @@
     renewed: u64,
     store: bool,
     cut: BTreeSet<usize>,
+    /// Workers that it hears but that don't hear it: what it sends is swallowed, or held.
+    mute: BTreeSet<usize>,
+    /// Stands still until then: it hears, sends and renews nothing, and doesn't know it.
+    still_until: u64,
     /// A transaction is on its way.
     writing: bool,
     waiting: Vec<(usize, (u64, u64), u64)>,
@@ -235,6 +240,8 @@
             renewed: now,
             store: true,
             cut,
+            mute: BTreeSet::new(),
+            still_until: 0,
             writing: false,
             waiting: vec![],
         });
@@ -441,7 +448,7 @@
             self.key = None;
         }
         for k in 0..self.leaders.len() {
-            if self.leaders[k].store {
+            if self.leaders[k].store && now >= self.leaders[k].still_until {
                 match &mut self.key {
                     Some((term, _, until)) if *term == self.leaders[k].term => {
                         *until = now + ttl;
@@ -452,11 +459,15 @@
                 }
             }
         }
-        self.leaders.retain(|l| now <= l.renewed + holding && l.renewed > 0);
+        let ends = |l: &Leader| now > l.renewed + holding || l.renewed == 0;
+        self.leaders.retain(|l| now < l.still_until || !ends(l));
         if self.key.is_none() && self.chance(0.3) {
             self.elect();
         }
         for k in 0..self.leaders.len() {
+            if now < self.leaders[k].still_until {
+                continue;
+            }
             let lead = self.lead(&self.leaders[k]);
             let l = &mut self.leaders[k];
             l.cell.expire(now);
@@ -470,7 +481,7 @@
             for d in direct {
                 let i: usize = d.addr.parse().expect("address");
                 if !cut.contains(&i) && !self.chance(0.1) {
-                    self.post(Msg::Command(i, term, d.shift, d.orders));
+                    self.send(k, i, Msg::Command(i, term, d.shift, d.orders));
                 }
             }
             if let Some(batch) = batch {
@@ -501,11 +512,21 @@
             if lead && !l.cell.orders_ready(mid) {
                 l.waiting.push((i, at, tally));
             } else if let Some(o) = l.cell.orders(mid, at, now, lead) {
-                out.push(Msg::Response(i, o.warrant, at.0, tally, o.orders));
+                out.push((i, Msg::Response(i, o.warrant, at.0, tally, o.orders)));
             }
         }
-        for msg in out {
+        for (i, msg) in out {
+            self.send(k, i, msg);
+        }
+    }
+
+    /// From leader `k` to worker `i`, on a connection that may work in the other direction only.
+    fn send(&mut self, k: usize, i: usize, msg: Msg) {
+        if !self.leaders[k].mute.contains(&i) {
             self.post(msg);
+        } else if self.chance(0.5) {
+            let at = self.now + self.rng.random_range(3_000..40_000);
+            self.mail.push((at, msg));
         }
     }
 
@@ -546,6 +567,15 @@
 
     fn deliver(&mut self, msg: Msg) {
         let now = self.now;
+        if let Msg::Report(_, term, _) | Msg::Commit(term, ..) = &msg
+            && let Some(l) = self.leaders.iter().find(|l| l.term == *term)
+            && now < l.still_until
+            && !matches!(&msg, Msg::Commit(..))
+        {
+            // It finds the message when it goes on, and takes it for a new one.
+            self.mail.push((l.still_until, msg));
+            return;
+        }
         match msg {
             Msg::Report(i, term, report) => {
                 let lead = |l: &Leader| now < l.renewed + 2500;
@@ -607,6 +637,10 @@
                 }
                 let Some(l) = self.leaders.iter_mut().find(|l| l.term == term) else { return };
                 l.writing = false;
+                if now < l.still_until {
+                    // Applied, but the answer comes too late: an unknown outcome.
+                    return;
+                }
                 match outcome {
                     Ok(rev) => l.cell.applied(&batch, rev),
                     Err(keys) if keys.iter().any(|k| k == "c/leader") => l.renewed = 0,
@@ -628,7 +662,8 @@
 
     fn users(&mut self) {
         let now = self.now;
-        let Some(k) = self.leaders.iter().rposition(|l| now < l.renewed + 2500) else { return };
+        let well = |l: &Leader| now < l.renewed + 2500 && now >= l.still_until;
+        let Some(k) = self.leaders.iter().rposition(well) else { return };
         if self.chance(0.02) && self.submitted.len() < 25 {
             let n = self.submitted.len();
             let gang = self.chance(0.25);
@@ -716,6 +751,36 @@
                 l.cut.insert(i);
             }
         }
+        // A leader stands still, and goes on believing that it leads, until it hears otherwise: its
+        // connection to the store has to be made anew.
+        if self.chance(0.004) {
+            let still = self.rng.random_range(1_000..45_000);
+            if let Some(l) = self.leaders.last_mut() {
+                (l.still_until, l.store) = (now + still, false);
+            }
+        }
+        // A leader reaches the store but no worker at all; later it does again.
+        if self.chance(0.002) {
+            let all = (0..self.workers.len()).collect();
+            if let Some(l) = self.leaders.last_mut() {
+                l.cut = all;
+            }
+        }
+        if self.chance(0.02)
+            && let Some(l) = self.leaders.last_mut()
+        {
+            l.cut.clear();
+            l.mute.clear();
+        }
+        // Connections that work in one direction only: to one worker, or to all.
+        if self.chance(0.01) {
+            let i = self.rng.random_range(0..self.workers.len());
+            let all = self.chance(0.2);
+            let hit: Vec<usize> = if all { (0..self.workers.len()).collect() } else { vec![i] };
+            if let Some(l) = self.leaders.last_mut() {
+                l.mute.extend(hit);
+            }
+        }
         if self.chance(0.004) {
             let i = self.rng.random_range(0..self.workers.len());
             self.workers[i].hangs_until = now + self.rng.random_range(1_000..25_000);
