--- a/src/node.rs
+++ b/src/node.rs
@@ -53,6 +53,8 @@
     pub flavors: Option<Vec<WireFlavor>>,
     /// When this node could last reach a leader.
     pub reached: u64,
+    /// When a worker last reported at this node's own door.
+    pub worker: u64,
     /// Since when the state service gives this node no answers.
     pub no_state: Option<u64>,
 }
@@ -95,6 +97,9 @@
 /// A node that has reached no leader for this long is of no use to users: long enough for a new
 /// leader to be there after a crash.
 const UP_MS: u64 = 2500;
+/// Workers that have lost their node try the next one a second later: while nobody leads, one is
+/// heard at least so often at a node that they can reach.
+const WORKER_MS: u64 = 2000;
 /// The answer of a node that neither leads nor reaches a leader.
 const NOT_ENTITLED: u16 = 421;
 
@@ -221,6 +226,13 @@
         }
     }
 
+    /// Is it of use as a leader? Only if peers or workers reach it. A node that has just started
+    /// may not have been heard of yet.
+    pub fn of_use(&self, now: u64) -> bool {
+        let worker = self.state.lock().expect("lock").worker;
+        now < 5000 || self.cluster.any_peer(now) || (worker > 0 && now < worker + WORKER_MS)
+    }
+
     /// Zones of the controllers that are within reach, this one's included.
     pub fn reached_zones(&self, now: u64) -> Vec<&str> {
         let up = |m: &&crate::settings::Member| self.cluster.links_to(&m.member, now);
@@ -248,6 +260,7 @@
             return self.too_many(why);
         }
         if op == Op::Report {
+            self.state.lock().expect("lock").worker = self.now();
             return self.report_at_the_door(body).await;
         }
         self.serve(op, body, 2).await
@@ -627,6 +640,18 @@
         assert!(!node.authority(&state, 10_001) && !node.holding(&state, 10_001));
     }
 
+    #[test]
+    fn whoever_workers_or_peers_reach_stands_for_election_first() {
+        // Found on an own day: controllers could not reach one another, the leader lost the workers
+        // and gave way, and won the next five elections, since all had as little of peers.
+        let node = Node::new(crate::settings::tests::sample());
+        let cases = [(0, 4_000, true), (0, 6_000, false), (9_000, 9_500, true)];
+        for (worker, now, of_use) in cases.into_iter().chain([(9_000, 11_500, false)]) {
+            node.state.lock().expect("lock").worker = worker;
+            assert_eq!(node.of_use(now), of_use, "{worker} {now}");
+        }
+    }
+
     #[test]
     fn questions_neither_use_up_the_state_service_nor_crowd_out_submissions() {
         // Found on an own day of sixty times as many questions: while nobody led each cost two
