--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -77,6 +77,8 @@
     pub zone: ZoneId,
     pub spot: bool,
     pub since: u64,
+    /// Since when this leader knows of it.
+    known: u64,
     /// When a list last showed it.
     listed: u64,
     missed: u32,
@@ -263,6 +265,8 @@
         for (name, b) in &self.fleet.booting {
             let nominal = self.flavors[b.kind.ix()].boot_s;
             let due = b.since + self.fleet.patience(b.kind, b.zone, nominal, now);
+            // To a new leader the list shows machines that are up and have not reported to it yet.
+            let due = due.max(b.known + self.silence());
             if now > due {
                 names.push(name.as_str());
                 let seen = self.fleet.boots.get(&(b.kind, b.zone));
@@ -609,7 +613,8 @@
         for h in hearths.into_iter().flatten() {
             if !self.by_name.contains_key(&h) && !self.fleet.gone.contains(&h) {
                 let (kind, zone, spot) = what;
-                let b = Booting { kind, zone, spot, since: now, listed: 0, missed: 0 };
+                let (since, known) = (now, now);
+                let b = Booting { kind, zone, spot, since, known, listed: 0, missed: 0 };
                 self.fleet.booting.insert(h, b);
             }
         }
@@ -638,6 +643,7 @@
                 zone,
                 spot: h.loaners,
                 since: now.saturating_sub(held),
+                known: now,
                 listed: now,
                 missed: 0,
             });
@@ -1024,7 +1030,8 @@
         let mut c = crate::safety_tests::cell();
         let (small, north, south) = (TypeId(0), ZoneId(0), ZoneId(1));
         let boot = |c: &mut Cell, name: &str, zone: ZoneId, since: u64| {
-            let b = Booting { kind: small, zone, spot: false, since, listed: 0, missed: 0 };
+            let (spot, known) = (false, since);
+            let b = Booting { kind: small, zone, spot, since, known, listed: 0, missed: 0 };
             c.fleet.booting.insert(name.into(), b);
         };
         boot(&mut c, "n-1", north, 0);
@@ -1032,6 +1039,11 @@
         for (now, coming) in [(20_000, 1), (31_000, 1), (31_001, 0), (100_000, 0)] {
             assert_eq!(c.coming(now).len(), coming, "{now}");
         }
+        // An old machine that a new leader learns of from the list is just about to report.
+        boot(&mut c, "n-9", south, 0);
+        c.fleet.booting.get_mut("n-9").expect("there").known = 90_000;
+        assert_eq!((c.overdue(93_000).0, c.coming(93_000).len()), (vec!["n-1"], 1));
+        c.fleet.booting.remove("n-9");
         // A boot seen since shows that the place is well, another is late all the same.
         assert!(c.overdue(40_000).1.contains(&(small, north)));
         // Where the type comes up in time nowhere, replacements would be as late.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -292,8 +292,8 @@
     pub pauses: u32,
     pub retry_at: u64,
     pub wait: Wait,
-    /// Number and total run time of its finished tasks whose start was seen.
-    pub runs: (u32, f64),
+    /// Number and total run time of its finished tasks whose start was seen, and the longest.
+    pub runs: (u32, f64, f64),
     /// How many of its tasks were stopped to make room, and when its last waiting task was placed;
     /// for the log.
     pub preempted: u32,
@@ -331,7 +331,7 @@
             pauses: 0,
             retry_at: 0,
             wait: Wait::Recording,
-            runs: (0, 0.0),
+            runs: (0, 0.0, 0.0),
             preempted: 0,
             placed_at: 0,
             ready_at: 0,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -468,6 +468,7 @@
                     if let Some(job) = self.jobs.get_mut(&id) {
                         job.runs.0 += 1;
                         job.runs.1 += s;
+                        job.runs.2 = job.runs.2.max(s);
                     }
                 }
                 if let Some(m) = self.machines.get_mut(&mid) {
@@ -617,9 +618,11 @@
     }
 
     /// Sets machines aside on which every task runs far longer than its job's tasks did elsewhere:
-    /// three tasks or more, each past `SLOW` times its job's mean.
+    /// three tasks or more, each past `SLOW` times its job's mean, and past `LONG` times the longest:
+    /// where run times differ much, those that finish first say little of the others.
     pub fn spot_slow(&mut self, now: u64) {
         const SLOW: f64 = 2.5;
+        const LONG: f64 = 1.5;
         let mut found = vec![];
         for (mid, m) in self.machines.iter().filter(|(_, m)| m.usable(now, self.silence())) {
             let (mut over, mut judged) = (0, 0);
@@ -630,7 +633,8 @@
                 }
                 judged += 1;
                 let ran = now.saturating_sub(e.running_at) as f64 / 1000.0;
-                over += u32::from(ran > SLOW * job.runs.1 / f64::from(job.runs.0) + 5.0);
+                let mean = job.runs.1 / f64::from(job.runs.0);
+                over += u32::from(ran > SLOW * mean + 5.0 && ran > LONG * job.runs.2);
             }
             if judged >= 3 && over == judged {
                 found.push(*mid);
