Who lacks both the leader and the state service says so at once

Before: up to 3 s; now: at once, 503 with Retry-After, and the connection closed. Test: it makes no look-up.

--- a/src/node.rs
+++ b/src/node.rs
@@ -226,6 +226,10 @@
         }
     }
 
+    fn lacks_state(&self) -> bool {
+        self.state.lock().expect("lock").no_state.is_some()
+    }
+
     /// Is it of use as a leader? Only if peers or workers reach it. A node that has just started
     /// may not have been heard of yet.
     pub fn of_use(&self, now: u64) -> bool {
@@ -361,6 +365,9 @@
 
     /// Looks an id up that is not in memory: final jobs leave it. Err: no answer.
     async fn past(&self, term: u64, uid: &str) -> Result<Option<FinalRecord>, Reply> {
+        if self.lacks_state() {
+            return Err(Reply::later("the state service is out of reach", 1));
+        }
         if !self.may_look_up(1) {
             return Err(self.too_many(2));
         }
@@ -509,6 +516,10 @@
         if !jobs::valid_uid(uid) {
             return Reply::error(404, "unknown job");
         }
+        // Who lacks both the leader and the state service says so at once.
+        if self.lacks_state() {
+            return Reply { close: true, ..Reply::later("the state service is out of reach", 1) };
+        }
         if !self.may_look_up(2) {
             return self.too_many(2);
         }
@@ -692,6 +703,12 @@
         runtime.expect("runtime").block_on(async {
             let show = node.ask(Op::Cancel, b"wk-1").await;
             assert_eq!((show.status, show.retry_after, show.close), (503, 1, true));
+            // Without the state service too, a question is answered at once: no look-up is made.
+            node.state_service(Some(&StoreError::Status(503)));
+            let before = node.lookups.lock().expect("lock").left();
+            let show = node.ask(Op::Show, b"wk-1").await;
+            assert_eq!((show.status, show.retry_after, show.close), (503, 1, true));
+            assert_eq!(node.lookups.lock().expect("lock").left(), before);
         });
     }
 }
