A controller that starts without the state service says so

Cause: tried as a new user: started with nothing within reach, it logged nothing, and the metric said that it reaches the state service.

--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -26,7 +26,9 @@
             // Workers' leases run while nobody leads: the types that an earlier leader recorded
             // are at hand at once, also when the cloud is in trouble. They are brought up to date
             // beside.
-            if let Ok(Some((r, _))) = node.store.get::<FlavorsRecord>(FLAVORS).await {
+            let recorded = node.store.get::<FlavorsRecord>(FLAVORS).await;
+            node.state_service(recorded.as_ref().err());
+            if let Ok(Some((r, _))) = recorded {
                 node.state.lock().expect("lock").flavors = Some(r.berths);
                 let node = node.clone();
                 tokio::spawn(async move { refresh_flavors(&node).await });
