A mass of tiny jobs does not outgrow a machine's record

Cause: sought for among what a guest may bring: within one placement pass a machine could be given more groups of tasks than its record holds; the state service refuses such a record as malformed, and nothing that it lists would ever run. Slots now count down the groups left.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -355,6 +355,7 @@
                 cards: f.cards,
                 mem_gb: f.mem_gb,
                 images: vec![],
+                groups: usize::MAX,
                 reserved: None,
             }
         };
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -19,12 +19,17 @@
     pub cards: f64,
     pub mem_gb: f64,
     pub images: Vec<ImageId>,
+    /// Groups of tasks, each placed at once, that the machine's record still has room for.
+    pub groups: usize,
     pub reserved: Option<JobId>,
 }
 
 impl Slot {
     /// How many tasks of this shape fit.
     pub fn fits(&self, spec: &Spec) -> u32 {
+        if self.groups == 0 {
+            return 0;
+        }
         let part = |free: f64, need: f64| {
             if need <= 0.0 { 256.0 } else { ((free + EPS) / need).floor().clamp(0.0, 256.0) }
         };
@@ -38,6 +43,9 @@
         self.cpus -= spec.cpus * n;
         self.cards -= spec.cards * n;
         self.mem_gb -= spec.mem_gb * n;
+        if n > 0.0 {
+            self.groups = self.groups.saturating_sub(1);
+        }
     }
 
     /// Does at least one task fit here, with nobody else's reservation in the way?
@@ -145,7 +153,7 @@
         let most = self.settings.most_groups();
         self.machines
             .iter()
-            .filter(|(_, m)| m.usable(now, silence) && m.groups_below(most))
+            .filter(|(_, m)| m.usable(now, silence) && m.groups_left(most) > 0)
             .map(|(mid, m)| Slot {
                 mid: *mid,
                 kind: m.kind,
@@ -155,6 +163,7 @@
                 cards: m.cards - m.used_cards,
                 mem_gb: m.mem_gb - m.used_mem,
                 images: m.images.iter().map(|(i, _)| *i).collect(),
+                groups: m.groups_left(most),
                 reserved: m.reserved.filter(|(_, until)| now < *until).map(|(id, _)| id),
             })
             .collect()
@@ -641,6 +650,7 @@
                 cards: m.cards - m.used_cards,
                 mem_gb: m.mem_gb - m.used_mem,
                 images: vec![],
+                groups: usize::MAX,
                 reserved: None,
             };
             for ((v, _), e) in &m.entries {
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -395,6 +395,36 @@
     }
 }
 
+#[test]
+fn a_mass_of_tiny_jobs_does_not_outgrow_a_record() {
+    // A guest's hundreds of jobs of one small task each: within one pass a machine was given more
+    // of them than its record could hold; such a record is refused, and what it lists never runs.
+    let mut c = cell();
+    let most = c.settings.most_groups();
+    for n in 0..most + 40 {
+        let mut body = crate::jobs::tests::body(&format!("wk-{:020}", n));
+        (body.owner, body.parcels, body.cpus, body.mem_gb) = ("guest".into(), 1, 0.1, 0.1);
+        let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
+        let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
+        let id = c.insert_job(spec, body, T0, T0 as i64);
+        let ver = c.touch(Key::Job(id));
+        c.jobs.get_mut(&id).expect("there").accept_ver = ver;
+    }
+    commit(&mut c);
+    let r = Report { berth: "big".into(), ..report(1, 1, TERM, &[]) };
+    assert!(matches!(c.on_report(&r, T0), Taken::Answer(_)));
+    c.place(T0);
+    assert_eq!(c.machines[&c.by_name["n-1"]].entries.len(), most);
+    let limit = (c.settings.deployment.state.value_kb * 1024.0) as usize;
+    let put = commit(&mut c).into_iter().find_map(|change| match change {
+        Change::Put { put, v, .. } if put == "m/n-1" => Some(v),
+        _ => None,
+    });
+    // In MessagePack; in JSON, in which the limit is measured, up to a fifth more.
+    let size = crate::http::encode(&put.expect("recorded")).len();
+    assert!(size * 6 / 5 < limit, "{size}");
+}
+
 #[test]
 fn a_machine_on_which_fails_what_runs_elsewhere_is_set_aside() {
     // (seen running elsewhere for so long, or done there; faulty)
