--- a/src/admission.rs
+++ b/src/admission.rs
@@ -185,8 +185,17 @@
 
     /// Decides on an arriving job and routes its tasks; Err carries the lowest index.
     pub fn admit(&self, spec: &Spec, now: u64) -> Result<Vec<u32>, f64> {
+        self.admit_after(spec, 0.0, now)
+    }
+
+    /// The same for a job that first waits for others, about so many seconds: the test is on what
+    /// that leaves of its deadline.
+    pub fn admit_after(&self, spec: &Spec, wait_s: f64, now: u64) -> Result<Vec<u32>, f64> {
         let mut views = self.views(spec, now);
-        let theta = self.theta(spec);
+        let theta = match spec.deadline_s {
+            Some(span) => 1.0 / (span - wait_s).max(0.1),
+            None => self.theta(spec),
+        };
         let steps = self.settings.tuning.route_chunk;
         let (got, best) = route(&mut views, theta, spec.tasks, steps);
         if spec.deadline_s.is_some() && !admits(best, self.settings.tuning.rejection_cost) {
--- a/src/cell.rs
+++ b/src/cell.rs
@@ -5,6 +5,7 @@
 use crate::fleet::{Flavor, Fleet};
 use crate::jobs::*;
 use crate::names::*;
+use crate::pipelines::Links;
 use crate::settings::Settings;
 use crate::store::*;
 use crate::workers::{Direct, Entry, Machine, Seen};
@@ -38,6 +39,8 @@
 /// for first, what nobody waits for last.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Key {
+    /// More of what a job waits for; before its own record.
+    Links(JobId, u32),
     Job(JobId),
     Rental(String),
     Machine(MachineId),
@@ -48,14 +51,15 @@
 impl Key {
     /// Finished ranges, which only spare work after a crash.
     const RANGES: u8 = 3;
+    const LAST: u8 = 4;
 
     fn urgency(&self) -> u8 {
         match self {
-            Key::Job(_) => 0,
+            Key::Links(..) | Key::Job(_) => 0,
             Key::Rental(_) => 1,
             Key::Machine(_) => 2,
             Key::Done(..) => Key::RANGES,
-            Key::Drop(_) => 4,
+            Key::Drop(_) => Key::LAST,
         }
     }
 }
@@ -99,6 +103,9 @@
 #[derive(Debug)]
 pub struct Commits {
     pub writes: u64,
+    /// Transactions refused as malformed or too large, and for too many changes in a second.
+    pub too_large: u64,
+    pub too_many: u64,
     pub micros: hdrhistogram::Histogram<u32>,
 }
 
@@ -129,6 +136,13 @@
     saved: HashMap<Key, u64>,
     pub stamps: HashMap<String, u64>,
     ver: u64,
+    /// The longest value that is written: the limit, or less once the service refused one.
+    pub value_limit: usize,
+    /// Records that are longer, and wait until they have shrunk.
+    pub held_back: BTreeSet<Key>,
+    /// Only one record to a transaction: one of them was refused.
+    pub alone: bool,
+    pub links: Links,
     pub rates: Rates,
     pub fleet: Fleet,
     pub direct: Vec<Direct>,
@@ -141,6 +155,13 @@
 }
 
 const FINALS_KEPT: usize = 3000;
+/// Parts in which a chunk of finished ranges is written that is too scattered for one value. Two
+/// of their tasks for every range, each range some eight bytes long: 1 KiB a part at most.
+const SPLIT: u32 = 4;
+/// What a group of tasks and a range of it take of a machine's record at most; a record that gets
+/// too long all the same is held back.
+pub const GROUP_BYTES: usize = 64;
+pub const RANGE_BYTES: usize = 9;
 
 impl Cell {
     pub fn new(
@@ -158,6 +179,8 @@
         Cell {
             commits: Commits {
                 writes: 0,
+                too_large: 0,
+                too_many: 0,
                 // Two digits up to a minute: a few KiB. The bounds are constants and valid.
                 micros: hdrhistogram::Histogram::new_with_max(60_000_000, 2).expect("valid bounds"),
             },
@@ -166,6 +189,10 @@
             held: vec![Usage::default(); settings.deployment.teams.len()],
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
+            value_limit: settings.deployment.state.value_bytes(),
+            held_back: BTreeSet::new(),
+            alone: false,
+            links: Links::default(),
             settings,
             term,
             leader,
@@ -239,13 +266,34 @@
         let id = JobId::from(self.new_id());
         let mut job =
             Job::new(Arc::new(spec), Arc::new(body), at, self.names.zones.len(), self.pools());
-        job.born = born;
+        (job.born, job.since) = (born, born);
+        job.due = job.spec.deadline_s.map(|s| born + (s * 1000.0) as i64);
+        let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
+        job.eta = born + (run * 1000.0) as i64;
         self.by_uid.insert(job.spec.uid.clone(), id);
         self.order.insert((at, id));
         self.jobs.insert(id, job);
         id
     }
 
+    /// Changes a job's priority; what its tasks use is counted under the new one.
+    pub fn set_precedence(&mut self, id: JobId, precedence: Precedence) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.spec.precedence == precedence {
+            return;
+        }
+        let on = f64::from(job.onto.values().sum::<u32>());
+        let (cpus, cards) = (job.spec.cpus * on, job.spec.cards * on);
+        let split = &mut self.split[job.spec.team.ix()];
+        let part = split.of(&job.spec);
+        part.cpus = (part.cpus - cpus).max(0.0);
+        part.cards = (part.cards - cards).max(0.0);
+        Arc::make_mut(&mut job.spec).precedence = precedence;
+        let part = split.of(&job.spec);
+        part.cpus += cpus;
+        part.cards += cards;
+    }
+
     pub fn accepted(&self, id: JobId, job: &Job) -> bool {
         self.is_saved(&Key::Job(id), job.accept_ver)
     }
@@ -260,8 +308,9 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.cancel_ver = Some(ver);
             job.waiting.clear();
-            let at = job.at;
+            let at = job.turn_at;
             self.order.remove(&(at, id));
+            self.links.reconsider(job);
         }
         self.stop_all(id, now, 0.0);
         self.settle(id);
@@ -331,7 +380,7 @@
                 job.failures,
             );
         }
-        let at = job.at;
+        let at = job.turn_at;
         let chunks = job.spec.tasks.div_ceil(CHUNK);
         let ver = self.touch(Key::Job(id));
         for chunk in 0..chunks {
@@ -364,12 +413,20 @@
             return;
         }
         let uid = job.spec.uid.clone();
-        for chunk in 0..job.spec.tasks.div_ceil(CHUNK) {
-            let key = format!("d/{uid}/{chunk}");
-            if self.stamps.contains_key(&key) {
-                self.touch(Key::Drop(key));
+        let (tasks, parts) = (job.spec.tasks, job.parts);
+        for chunk in 0..tasks.div_ceil(CHUNK) {
+            let whole = format!("d/{uid}/{chunk}");
+            let split = (0..SPLIT).map(|part| format!("{whole}/{part}"));
+            for key in split.chain([whole.clone()]) {
+                self.drop_path(key);
             }
             self.saved.remove(&Key::Done(id, chunk));
+            self.held_back.remove(&Key::Done(id, chunk));
+        }
+        self.links.forget(&uid);
+        for part in 0..parts {
+            self.drop_path(format!("a/{uid}/{part}"));
+            self.saved.remove(&Key::Links(id, part));
         }
         self.by_uid.remove(&uid);
         self.jobs.remove(&id);
@@ -377,11 +434,21 @@
         self.stamps.remove(&format!("f/{uid}"));
     }
 
+    fn drop_path(&mut self, path: String) {
+        if self.stamps.contains_key(&path) {
+            self.touch(Key::Drop(path));
+        }
+    }
+
     pub fn show(&self, uid: &str) -> Option<Shown> {
         if let Some((id, job)) = self.job(uid) {
             if !self.accepted(id, job) {
                 return None;
             }
+            // What it waits for may have been cancelled, which others may have told its user.
+            if job.open() && !job.awaits.is_empty() && !self.links.settled() {
+                return None;
+            }
             let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
             let status = if saved(job.cancel_ver) {
                 "aborted"
@@ -395,13 +462,16 @@
             let why = (status == "queued" || !job.waiting.is_empty())
                 .then(|| self.why_waiting(id, job).text().to_string())
                 .filter(|w| !w.is_empty() && job.open());
-            return Some(Shown {
-                uid: uid.into(),
-                status: status.into(),
+            let mut shown = Shown {
                 done: job.done.len() as u64,
                 running: u64::from(job.running),
                 why,
-            });
+                ..Shown::new(uid, status)
+            };
+            if job.open() && !job.awaits.is_empty() {
+                self.show_waiting(job, &mut shown);
+            }
+            return Some(shown);
         }
         self.finals.get(uid).map(|f| shown_final(uid, f))
     }
@@ -503,15 +573,31 @@
                         Change::Delete { delete: format!("j/{uid}") },
                     ];
                 }
-                let record =
-                    JobRecord { job: (*job.body).clone(), at: job.at, cancelled: job.cancelled() };
+                let record = self.job_record(job);
                 vec![put(format!("j/{uid}"), Record::Job(Box::new(record)))]
             }
+            Key::Links(id, part) => {
+                let Some(job) = self.jobs.get(id) else { return vec![] };
+                let Some(on) = self.links.part(&job.spec.uid, *part) else { return vec![] };
+                let record = LinksRecord { on: on.iter().map(ToString::to_string).collect() };
+                vec![put(format!("a/{}/{part}", job.spec.uid), Record::Links(record))]
+            }
             Key::Done(id, chunk) => {
                 let Some(job) = self.jobs.get(id) else { return vec![] };
                 let from = chunk * CHUNK;
-                let r = to_ranges(job.done.range(from..from + CHUNK).copied());
-                vec![put(format!("d/{}/{chunk}", job.spec.uid), Record::Done(DoneRecord { r }))]
+                let ranges = |from: u32, n: u32| {
+                    let r = to_ranges(job.done.range(from..from + n).copied());
+                    Record::Done(DoneRecord { r })
+                };
+                let whole = format!("d/{}/{chunk}", job.spec.uid);
+                let record = ranges(from, CHUNK);
+                if record.bytes() <= self.value_limit {
+                    return vec![put(whole, record)];
+                }
+                // Too scattered for one value: in parts, which an older version reads as well.
+                let n = CHUNK / SPLIT;
+                let part = |p| (format!("{whole}/{p}"), ranges(from + p * n, n));
+                (0..SPLIT).map(part).map(|(path, record)| put(path, record)).collect()
             }
             Key::Machine(mid) => match self.machines.get(mid) {
                 Some(m) => {
@@ -527,6 +613,67 @@
         }
     }
 
+    /// The record of an open job.
+    fn job_record(&self, job: &Job) -> JobRecord {
+        let mut body = (*job.body).clone();
+        let mut waits = None;
+        if !job.awaits.is_empty() && !job.cancelled() {
+            let listed = self.links.inline(job);
+            let on = listed.map(ToString::to_string).collect();
+            waits = Some(Waits { on, berths: body.berths.replace(vec![]), parts: job.parts });
+        }
+        let since = (job.turn_at != job.at).then_some(job.turn_at);
+        let mut record =
+            JobRecord { job: body, at: job.at, cancelled: job.cancelled(), waits, since };
+        if record.cancelled && Record::Job(Box::new(record.clone())).bytes() > self.value_limit {
+            // Accepted under a higher limit. That it is cancelled has to be recorded; of its names
+            // only the team's counts from here on.
+            (record.job.lot, record.job.cargo) = ("?".into(), "?".into());
+        }
+        record
+    }
+
+    /// How long the record of a waiting job is without the jobs that it waits for.
+    pub fn empty_record_bytes(&self, job: &JobBody) -> usize {
+        let waits = Some(Waits { on: vec![], berths: job.berths.clone(), parts: u32::MAX });
+        let (at, since) = (u64::MAX, Some(u64::MAX));
+        let record = JobRecord { job: job.clone(), at, cancelled: false, waits, since };
+        Record::Job(Box::new(record)).bytes()
+    }
+
+    /// Bytes that a machine's record has left for more tasks, counting what the ranges of those on
+    /// it may grow to as some of them end.
+    pub fn record_room(&self, m: &Machine) -> usize {
+        let names =
+            self.names.types.name(m.kind.ix()).len() + self.names.zones.name(m.zone.ix()).len();
+        let base = 96 + m.addr.len() + names;
+        let left = self.value_limit.saturating_sub(base);
+        // Most machines hold few tasks: no need to look closer.
+        let rough = m.entries.len() * (GROUP_BYTES + RANGE_BYTES);
+        if rough + 8 * GROUP_BYTES < left {
+            return left - rough;
+        }
+        let mut used = 0;
+        let (mut last, mut run): (Option<(JobId, u64, u32)>, usize) = (None, 0);
+        let ranges = |run: usize| run.div_ceil(2) * RANGE_BYTES + 2;
+        for ((id, task), e) in &m.entries {
+            match last {
+                Some((j, t, n)) if (j, t) == (*id, e.attempt) && n + 1 == *task => run += 1,
+                Some((j, t, _)) if (j, t) == (*id, e.attempt) => {
+                    used += ranges(run);
+                    run = 1;
+                }
+                _ => {
+                    let id = self.jobs.get(id).map_or(24, |j| j.spec.uid.len());
+                    used += GROUP_BYTES - 24 + id + ranges(run);
+                    run = 1;
+                }
+            }
+            last = Some((*id, e.attempt, *task));
+        }
+        left.saturating_sub(used + ranges(run))
+    }
+
     fn machine_record(&self, m: &Machine) -> MachineRecord {
         let mut by_job: BTreeMap<(JobId, u64), Vec<u32>> = BTreeMap::new();
         for ((id, task), e) in &m.entries {
@@ -554,8 +701,14 @@
     /// Finished ranges are many and nobody waits for them (a job that is over has its final
     /// record instead): a transaction takes a quarter of them, and each record says more.
     fn urgent(&self, ops: usize) -> Vec<Key> {
+        // Nobody waits for the end of a job that follows from another's.
+        let follows = |key: &Key| match key {
+            Key::Job(id) => self.jobs.get(id).is_some_and(|j| j.derived && self.accepted(*id, j)),
+            _ => false,
+        };
+        let urgency = |key: &Key| if follows(key) { Key::LAST } else { key.urgency() };
         let mut order: Vec<(u8, u64, &Key)> =
-            self.dirty.iter().map(|(key, (since, _))| (key.urgency(), *since, key)).collect();
+            self.dirty.iter().map(|(key, (since, _))| (urgency(key), *since, key)).collect();
         order.sort_unstable();
         let mut ranges = (ops / 4).max(1);
         let others = order.iter().any(|(urgency, ..)| *urgency < Key::RANGES);
@@ -570,7 +723,7 @@
             }
         }
         // Users' answers still go before the ranges.
-        let users = last.iter().take_while(|k| k.urgency() == 0).count();
+        let users = last.iter().take_while(|k| urgency(k) == 0).count();
         let rest = last.split_off(users);
         last.into_iter().chain(first).chain(rest).collect()
     }
@@ -581,15 +734,33 @@
             Batch { ver: self.ver, keys: vec![], when: vec![self.leader.clone()], apply: vec![] };
         let mut size = 0;
         let mut idle = vec![];
+        let mut long = vec![];
         for key in &self.urgent(ops) {
+            if self.alone && !batch.keys.is_empty() {
+                break;
+            }
+            // A job's record says that all it waits for is recorded.
+            if let Key::Job(id) = key
+                && let Some(job) = self.jobs.get(id)
+                && !self.accepted(*id, job)
+                && (0..job.parts)
+                    .map(|p| Key::Links(*id, p))
+                    .any(|links| !self.saved.contains_key(&links) && !batch.keys.contains(&links))
+            {
+                continue;
+            }
             let changes = self.render(key);
             if changes.is_empty() {
                 idle.push(key.clone());
                 continue;
             }
-            // MessagePack is never longer than the JSON that the limit is measured in; a third
-            // more is allowed for that.
-            let bytes = crate::http::encode(&changes).len() * 4 / 3 + 64;
+            // One value that is too long must not keep the others from being written.
+            if changes.iter().any(|c| c.bytes() > self.value_limit) {
+                long.push(key.clone());
+                continue;
+            }
+            let bytes: usize =
+                changes.iter().map(|c| c.bytes() + 3 * c.path().len() + 96).sum::<usize>();
             if batch.apply.len() + changes.len() > ops || size + bytes > 48 << 10 {
                 break;
             }
@@ -613,10 +784,46 @@
         }
         for key in idle {
             self.dirty.remove(&key);
+            self.held_back.remove(&key);
+        }
+        for key in &batch.keys {
+            self.held_back.remove(key);
+        }
+        for key in long {
+            self.hold_back(key);
         }
         (!batch.keys.is_empty()).then_some(batch)
     }
 
+    /// A record is longer than a value may be, as an older version or an earlier limit left it. What
+    /// is on record stays true: it lists all that was ever sent. Nothing is added until it has
+    /// shrunk.
+    fn hold_back(&mut self, key: Key) {
+        if self.held_back.insert(key.clone()) {
+            tracing::warn!("a record is too long to be written, until it shrinks: {key:?}");
+        }
+        if let Key::Machine(mid) = key {
+            self.unassign(mid);
+        }
+    }
+
+    /// Takes off a machine's list what has not been sent to it yet.
+    fn unassign(&mut self, mid: MachineId) {
+        let Some(m) = self.machines.get(&mid) else { return };
+        let key = Key::Machine(mid);
+        let unsent: Vec<(JobId, u32)> = m
+            .entries
+            .iter()
+            .filter(|(_, e)| e.mark.is_none() && !e.inherited && e.seen == Seen::Not)
+            .filter(|(_, e)| !self.is_saved(&key, e.ver))
+            .map(|(k, _)| *k)
+            .collect();
+        for (id, task) in unsent {
+            self.detach(mid, id, task);
+            self.lost_task(id);
+        }
+    }
+
     /// A condition on `key` failed, and it was read back: its version, and what it says if it is
     /// a final record.
     pub fn read_back(&mut self, key: &str, stamp: Option<u64>, last: Option<FinalRecord>) {
@@ -648,19 +855,49 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.by_uid.remove(&job.spec.uid);
-        self.order.remove(&(job.at, id));
+        self.order.remove(&(job.turn_at, id));
+        self.links.reconsider(&job);
+        self.links.forget(&job.spec.uid);
         self.dirty.remove(&Key::Job(id));
         self.saved.remove(&Key::Job(id));
         self.stamps.remove(&format!("j/{}", job.spec.uid));
-    }
-
-    /// A transaction was called malformed. Alone in it, a record is given up for good: what
-    /// waits for it is never called safe.
-    pub fn malformed(&mut self, batch: &Batch) {
-        if let [key] = batch.keys.as_slice() {
-            tracing::error!("given up as unwritable: {key:?}");
-            self.dirty.remove(key);
+        for part in 0..job.parts {
+            self.dirty.remove(&Key::Links(id, part));
+            self.saved.remove(&Key::Links(id, part));
+            self.drop_path(format!("a/{}/{part}", job.spec.uid));
+        }
+    }
+
+    /// A transaction was called malformed or too large: its records are tried one by one. Alone in
+    /// it, one is given up as it is: what waits for it is never called safe. If it was long, the
+    /// service takes less than the settings say, and so do all later values. False: it was one of
+    /// several.
+    pub fn malformed(&mut self, batch: &Batch) -> bool {
+        self.commits.too_large += 1;
+        let [key] = batch.keys.as_slice() else {
+            self.alone = true;
+            return false;
+        };
+        tracing::error!("given up as unwritable: {key:?}");
+        let longest = batch.apply.iter().map(Change::bytes).max().unwrap_or(0);
+        if longest > crate::settings::LEAST_VALUE {
+            self.value_limit = self.value_limit.min(longest - 1);
+            tracing::warn!("values are kept below {longest} bytes from now on");
         }
+        match key {
+            // Written again as soon as it has changed.
+            Key::Machine(mid) => {
+                let mid = *mid;
+                self.dirty.remove(key);
+                self.unassign(mid);
+            }
+            // With the lower limit it is split; nobody waits for it.
+            Key::Done(..) if longest > self.value_limit => {}
+            _ => {
+                self.dirty.remove(key);
+            }
+        }
+        true
     }
 
     /// A transaction was applied at `rev`.
@@ -688,6 +925,14 @@
                         if job.wait == Wait::Recording {
                             job.wait = Wait::Nothing;
                         }
+                        let done = job.final_ver.is_some() && !job.cancelled();
+                        if job.cancelled() || done {
+                            // Both are recorded if they were decided before it was rendered.
+                            let ver = job.cancel_ver.or(job.final_ver);
+                            if ver.is_some_and(|v| v <= batch.ver) {
+                                self.links.decide(job.spec.uid.clone(), done);
+                            }
+                        }
                         if job.final_ver.is_some_and(|v| v <= batch.ver) {
                             job.unsaved.clear();
                             let tasks = job.done.len() as u32;
@@ -709,7 +954,7 @@
                         self.saved.remove(key);
                     }
                 }
-                Key::Rental(_) | Key::Drop(_) => {}
+                Key::Links(..) | Key::Rental(_) | Key::Drop(_) => {}
             }
         }
     }
@@ -726,6 +971,7 @@
         self.machines.remove(&mid);
         self.by_name.remove(&name);
         self.dirty.remove(&Key::Machine(mid));
+        self.held_back.remove(&Key::Machine(mid));
         self.saved.remove(&Key::Machine(mid));
         let path = format!("m/{name}");
         if self.stamps.contains_key(&path) {
@@ -756,6 +1002,8 @@
         for job in self.jobs.values() {
             let on: u32 = job.onto.values().sum();
             assert_eq!(on, job.in_zone.iter().sum::<u32>());
+            let waits = job.open() && !job.awaits.is_empty();
+            assert!(!waits || (job.onto.is_empty() && job.routed.iter().all(|r| *r == 0)));
             for task in &job.waiting {
                 assert!(!job.done.contains(task) && !job.onto.contains_key(task));
             }
@@ -764,11 +1012,6 @@
 }
 
 pub fn shown_final(uid: &str, f: &FinalRecord) -> Shown {
-    Shown {
-        uid: uid.into(),
-        status: if f.done { "done" } else { "aborted" }.into(),
-        done: u64::from(f.tasks),
-        running: 0,
-        why: None,
-    }
+    let status = if f.done { "done" } else { "aborted" };
+    Shown { done: u64::from(f.tasks), ..Shown::new(uid, status) }
 }
--- a/src/client.rs
+++ b/src/client.rs
@@ -45,6 +45,19 @@
     if let Some(why) = &s.why {
         text += &format!("; {why}");
     }
+    if !s.awaits.is_empty() {
+        text += &format!(": {}", s.awaits.join(", "));
+        let more = s.awaits_count.saturating_sub(s.awaits.len() as u64);
+        if more > 0 {
+            text += &format!(" and {more} more");
+        }
+    }
+    if let Some(by) = &s.held_by {
+        text += &format!("; held back by {} ({}), {}", by.uid, by.lot, by.status);
+        if let Some(why) = &by.why {
+            text += &format!(": {why}");
+        }
+    }
     text
 }
 
@@ -67,16 +80,23 @@
 
     #[test]
     fn a_waiting_job_says_why() {
-        let s = Shown {
-            uid: "wk-1".into(),
-            status: "queued".into(),
-            done: 0,
-            running: 0,
-            why: Some("the team's limit is reached".into()),
-        };
+        let why = Some("the team's limit is reached".into());
+        let mut s = Shown { why, ..Shown::new("wk-1", "queued") };
         assert_eq!(
             describe(&s),
             "wk-1: queued, 0 tasks done, 0 running; the team's limit is reached"
         );
+        s.why = Some("waits for other jobs to be done".into());
+        (s.awaits, s.awaits_count) = (vec!["wk-2".into(), "wk-3".into()], 5);
+        s.held_by = Some(crate::jobs::HeldBy {
+            uid: "wk-7".into(),
+            lot: "render".into(),
+            status: "running".into(),
+            why: None,
+        });
+        let text = describe(&s);
+        assert!(text.ends_with(
+            "; waits for other jobs to be done: wk-2, wk-3 and 3 more; held back by wk-7 (render), running"
+        ), "{text}");
     }
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -355,7 +355,7 @@
                 cards: f.cards,
                 mem_gb: f.mem_gb,
                 images: vec![],
-                groups: usize::MAX,
+                record: usize::MAX,
                 reserved: None,
             }
         };
@@ -446,7 +446,7 @@
                         if (spot && !spec.spot) || self.fleet.paused(&what, now) {
                             continue;
                         }
-                        if !spot && self.spares(spec, job.born, now) {
+                        if !spot && self.spares(spec, job.since, now) {
                             continue;
                         }
                         let each = fresh(what, 0).fits(spec).max(1);
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -35,6 +35,10 @@
     pub stamp_s: f64,
     #[serde(default)]
     pub due_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts. Taken out when it is
+    /// accepted: the record keeps them apart (`store::Waits`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub awaits: Option<Vec<String>>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,7 +122,7 @@
     if !matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf)) {
         return bad("not a map");
     }
-    let job: JobBody =
+    let mut job: JobBody =
         rmp_serde::from_slice(body).map_err(|e| Refusal::Malformed(e.to_string()))?;
     if !valid_uid(&job.uid) {
         return bad("uid");
@@ -149,6 +153,17 @@
     if job.cpus == 0.0 && job.cards == 0.0 && job.mem_gb == 0.0 {
         return bad("cpus");
     }
+    let awaits = job.awaits.iter().flatten();
+    if awaits.clone().any(|uid| !valid_uid(uid)) {
+        return bad("awaits: not a job id");
+    }
+    if awaits.clone().any(|uid| *uid == job.uid) {
+        return bad("awaits: the job itself");
+    }
+    if let Some(awaits) = &mut job.awaits {
+        awaits.sort_unstable();
+        awaits.dedup();
+    }
     Ok(job)
 }
 
@@ -224,6 +239,7 @@
     #[default]
     Nothing,
     Recording,
+    Others,
     TeamLimit,
     NoRoom,
     Booting,
@@ -239,6 +255,7 @@
         match self {
             Wait::Nothing => "",
             Wait::Recording => "being recorded",
+            Wait::Others => "waits for other jobs to be done",
             Wait::TeamLimit => "the team's limit is reached",
             Wait::NoRoom => "no room on the machines it may use",
             Wait::Booting => "waiting for a machine to boot",
@@ -261,8 +278,23 @@
     pub at: u64,
     /// The same moment on the leader's steady clock; before its start for jobs taken over.
     pub born: i64,
-    /// Version of the record that makes it accepted.
+    /// Since when nothing it needs is missing, on the same clock and as time of day: the moment of
+    /// acceptance, or when the last job that it waits for was done.
+    pub since: i64,
+    pub turn_at: u64,
+    /// Jobs that it waits for and of which it is not recorded yet that they are done.
+    pub awaits: BTreeSet<Arc<str>>,
+    /// How many records of its own list more of them.
+    pub parts: u32,
+    /// Cancelled because of a job that it needs; that one's record says so.
+    pub derived: bool,
+    /// When it should be done for its own deadline or that of the jobs that need it, and when it
+    /// is expected to be, on the leader's steady clock.
+    pub due: Option<i64>,
+    pub eta: i64,
+    /// Version of the record that makes it accepted, and of that which lets it start.
     pub accept_ver: u64,
+    pub start_ver: u64,
     pub cancel_ver: Option<u64>,
     /// Version of the record that makes it final.
     pub final_ver: Option<u64>,
@@ -312,7 +344,15 @@
             body,
             at,
             born: 0,
+            since: 0,
+            turn_at: at,
+            awaits: BTreeSet::new(),
+            parts: 0,
+            derived: false,
+            due: None,
+            eta: 0,
             accept_ver: 0,
+            start_ver: 0,
             cancel_ver: None,
             final_ver: None,
             done: BTreeSet::new(),
@@ -373,6 +413,42 @@
     pub running: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub why: Option<String>,
+    /// Jobs that it still waits for: some of them, and how many there are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
+    #[serde(default, skip_serializing_if = "is_zero", rename = "awaitsCount")]
+    pub awaits_count: u64,
+    /// The step that holds it back: a job that runs or waits for something else than jobs.
+    #[serde(default, skip_serializing_if = "Option::is_none", rename = "heldBy")]
+    pub held_by: Option<HeldBy>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct HeldBy {
+    pub uid: String,
+    pub lot: String,
+    pub status: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+impl Shown {
+    pub fn new(uid: &str, status: &str) -> Shown {
+        Shown {
+            uid: uid.into(),
+            status: status.into(),
+            done: 0,
+            running: 0,
+            why: None,
+            awaits: vec![],
+            awaits_count: 0,
+            held_by: None,
+        }
+    }
 }
 
 #[cfg(test)]
@@ -402,6 +478,7 @@
             stamp_every_s: 0.0,
             stamp_s: 0.0,
             due_s: Some(60.0),
+            awaits: None,
         }
     }
 
@@ -409,7 +486,10 @@
 
     #[test]
     fn malformed_submissions() {
-        let cases: [(&str, Edit); 10] = [
+        let cases: [(&str, Edit); 13] = [
+            ("awaits", |b| b.awaits = Some(vec!["wk-2".into(), "job-3".into()])),
+            ("awaits", |b| b.awaits = Some(vec!["wk-1".into()])),
+            ("awaits", |b| b.awaits = Some(vec![String::new()])),
             ("uid", |b| b.uid = "job-1".into()),
             ("uid", |b| b.uid = "wk-1/2".into()),
             ("uid", |b| b.uid = "wk-".into()),
@@ -430,6 +510,16 @@
         assert!(parse(&encode(&body("wk-1"))).is_ok());
         assert!(parse(b"\x93\x01\x02\x03").is_err() && parse(b"").is_err());
         assert!(parse(&encode(&"text")).is_err());
+        // An empty list is as good as none, and a name counts once.
+        let lists: [(Option<Vec<String>>, Option<usize>); 3] = [
+            (None, None),
+            (Some(vec![]), Some(0)),
+            (Some(vec!["wk-9".into(), "wk-3".into(), "wk-9".into()]), Some(2)),
+        ];
+        for (list, left) in lists {
+            let b = JobBody { awaits: list, ..body("wk-1") };
+            assert_eq!(parse(&encode(&b)).expect("valid").awaits.map(|a| a.len()), left);
+        }
         // A list in field order would decode as the struct, but the protocol wants a map.
         assert!(parse(&rmp_serde::to_vec(&body("wk-1")).unwrap()).is_err());
     }
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -7,6 +7,7 @@
 use crate::store::*;
 use crate::workers::{Direct, Entry, Orders};
 use serde::de::IgnoredAny;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -170,11 +171,37 @@
     record_flavors(node, stamp).await;
     tokio::select! {
         why = commits(node, term) => why,
+        why = read_ends(node, term) => why,
         why = ticks(node, term) => why,
         _ = fleet::run(node.clone(), term) => "superseded",
     }
 }
 
+/// Reads how jobs ended that others still wait for, a few at a time: after a takeover no final
+/// record is in memory.
+async fn read_ends(node: &Node, term: u64) -> &'static str {
+    loop {
+        let Some(some) = node.with_cell(term, |c, _| c.links.unread(4)) else {
+            return "superseded";
+        };
+        let pause = if some.is_empty() { 200 } else { 20 };
+        let ends = some.iter().map(|uid| async move {
+            let seen = node.store.get::<FinalRecord>(&format!("f/{uid}")).await;
+            (uid, seen)
+        });
+        for end in ends {
+            let (uid, seen) = end.await;
+            let Ok(seen) = seen else { break };
+            let now = node.now();
+            node.with_cell(term, |c, _| {
+                c.links.read(uid, seen.map(|(last, _)| last.done));
+                c.follow(now);
+            });
+        }
+        sleep(ms(pause)).await;
+    }
+}
+
 /// Keeps the machine types for controllers that start while the cloud doesn't answer. Nothing
 /// depends on the outcome.
 async fn record_flavors(node: &Node, stamp: u64) {
@@ -188,6 +215,11 @@
         Cond { path: FLAVORS.into(), stamp: seen.map_or(0, |(_, s)| s) },
     ];
     let v = Record::Flavors(FlavorsRecord { berths });
+    let (bytes, most) = (v.bytes(), node.settings.deployment.state.value_bytes());
+    if bytes > most {
+        tracing::warn!("the machine types take {bytes} bytes, a value {most}: not recorded");
+        return;
+    }
     let apply = [Change::Put { put: FLAVORS.into(), v, charter: None }];
     node.store.commit(&when, &apply).await;
 }
@@ -198,12 +230,14 @@
     let done = node.store.list::<DoneRecord>("d/").await?;
     let machines = node.store.list::<MachineRecord>("m/").await?;
     let rentals = node.store.list::<RentalRecord>("r/").await?;
+    let links = node.store.list::<LinksRecord>("a/").await?;
     let provided = node.store.get::<ProvidedRecord>(fleet::PROVIDED).await?;
     let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
     let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
-    rebuild(&mut cell, jobs, done, machines, rentals, now);
+    let read = Records { jobs, done, machines, rentals, links };
+    rebuild(&mut cell, read, now);
     cell.fleet.provided = provided.map(|(p, _)| p.machines);
     let (j, m) = (cell.jobs.len(), cell.machines.len());
     tracing::info!("term {term} has {j} open jobs and {m} machines on record");
@@ -213,16 +247,31 @@
 
 type Rows<T> = Vec<(String, T, u64)>;
 
-pub fn rebuild(
-    cell: &mut Cell,
-    jobs: Rows<JobRecord>,
-    done: Rows<DoneRecord>,
-    machines: Rows<MachineRecord>,
-    rentals: Rows<RentalRecord>,
-    now: u64,
-) {
-    for (path, record, stamp) in jobs {
+/// All records that a new leader reads: path, value, version.
+#[derive(Default)]
+pub struct Records {
+    pub jobs: Rows<JobRecord>,
+    pub done: Rows<DoneRecord>,
+    pub machines: Rows<MachineRecord>,
+    pub rentals: Rows<RentalRecord>,
+    pub links: Rows<LinksRecord>,
+}
+
+pub fn rebuild(cell: &mut Cell, read: Records, now: u64) {
+    let Records { jobs, done, machines, rentals, links } = read;
+    let mut more: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    for (path, record, stamp) in links {
+        cell.stamps.insert(path.clone(), stamp);
+        let uid = path.split('/').nth(1).unwrap_or_default();
+        more.entry(uid.into()).or_default().extend(record.on);
+    }
+    let mut parked = vec![];
+    for (path, mut record, stamp) in jobs {
         cell.stamps.insert(path, stamp);
+        let waits = record.waits.take();
+        if let Some(waits) = &waits {
+            record.job.berths.clone_from(&waits.berths);
+        }
         let settings = cell.settings.clone();
         let flavors = std::mem::take(&mut cell.flavors);
         let spec = admit_shape(&record.job, &mut cell.names, &flavors, &settings);
@@ -244,9 +293,35 @@
                 job.cancel_ver = Some(0);
                 job.waiting.clear();
                 cell.order.remove(&(at, id));
+            } else if let Some(since) = record.since {
+                // It has waited for others.
+                let age = Node::wall_ms().saturating_sub(since);
+                job.since = now as i64 - i64::try_from(age).unwrap_or(0);
+                job.turn_at = since;
+                cell.order.remove(&(at, id));
+                cell.order.insert((since, id));
             }
         }
         cell.mark_saved(Key::Job(id));
+        if let Some(waits) = waits.filter(|_| !record.cancelled) {
+            parked.push((id, waits));
+        }
+    }
+    for (id, waits) in parked {
+        let Some(job) = cell.jobs.get_mut(&id) else { continue };
+        job.parts = waits.parts;
+        let on = waits.on.into_iter().chain(more.remove(&*job.spec.uid).unwrap_or_default());
+        let on = on.map(Into::into).collect();
+        cell.park(id, on, now);
+    }
+    // Left over from submissions that were never accepted, or of jobs that wait no more.
+    let unused = |path: &&String| {
+        let uid = path.strip_prefix("a/").and_then(|p| p.split('/').next());
+        uid.is_some_and(|uid| cell.job(uid).is_none_or(|(_, j)| j.parts == 0))
+    };
+    let unused: Vec<String> = cell.stamps.keys().filter(unused).cloned().collect();
+    for path in unused {
+        cell.touch(Key::Drop(path));
     }
     for (path, record, stamp) in done {
         let mut parts = path.split('/').skip(1);
@@ -310,32 +385,74 @@
         let Some(job) = cell.jobs.get(&id) else { continue };
         if job.cancelled() {
             cell.stop_all(id, now, 0.0);
-        } else if let Ok(routed) = cell.admit(&job.spec.clone(), now)
+        } else if job.awaits.is_empty()
+            && let Ok(routed) = cell.admit(&job.spec.clone(), now)
             && let Some(job) = cell.jobs.get_mut(&id)
         {
             job.routed = routed;
         }
         cell.settle(id);
     }
+    cell.follow(now);
+}
+
+/// What refused transactions teach: the state service may take less than the settings say.
+#[derive(Debug)]
+struct Caution {
+    /// Changes to a transaction at most.
+    ops: usize,
+    /// So many more transactions hold one record each: one of them was refused with others.
+    alone: usize,
+    /// How many changes that transaction had, and whether one of its records was refused alone.
+    suspect: (usize, bool),
+    /// Part of the usual pace.
+    pace: f64,
+}
+
+impl Caution {
+    fn new(ops: usize) -> Caution {
+        Caution { ops, alone: 0, suspect: (0, false), pace: 1.0 }
+    }
+
+    fn malformed(&mut self, batch: &crate::cell::Batch, sole: bool) {
+        if sole {
+            self.suspect.1 = true;
+            self.alone = self.alone.saturating_sub(1);
+        } else {
+            (self.alone, self.suspect) = (batch.keys.len(), (batch.apply.len(), false));
+        }
+    }
+
+    fn applied(&mut self) {
+        self.pace = (self.pace * 1.02).min(1.0);
+        if self.alone > 0 {
+            self.alone -= 1;
+            if self.alone == 0 && !self.suspect.1 {
+                // Each is taken alone: together they were too many for a transaction.
+                self.ops = (self.suspect.0 / 2).max(4).min(self.ops);
+                tracing::warn!("transactions hold {} changes at most from now on", self.ops);
+            }
+        }
+    }
 }
 
 /// Group commit: one transaction at a time, one put for each dirty key, paced below the state
 /// service's limit. Ends when the leader key is another's.
 async fn commits(node: &Node, term: u64) -> &'static str {
     let limits = &node.settings.deployment.state;
-    let rate = limits.write_rps * 0.8;
-    let most = (limits.write_rps * 0.5).max(2.0);
+    let most = (limits.write_rps() * 0.5).max(4.0);
     let (mut tokens, mut at) = (most, node.now());
-    let mut alone = false;
+    let mut caution = Caution::new(limits.txn_ops());
     loop {
         let now = node.now();
+        let rate = limits.write_rps() * 0.8 * caution.pace;
         tokens = (tokens + rate * (now - at) as f64 / 1000.0).min(most);
         at = now;
         if tokens < 2.0 {
             sleep(ms(20)).await;
             continue;
         }
-        let ops = if alone { 2 } else { (tokens as usize).min(limits.txn_ops) };
+        let ops = (tokens as usize).min(caution.ops);
         let Some(batch) = node.with_cell(term, |c, _| c.batch(ops)) else { return "superseded" };
         let Some(batch) = batch else {
             node.dirty.notified().await;
@@ -352,8 +469,13 @@
         });
         match outcome {
             Outcome::Applied(rev) => {
-                alone = false;
-                node.with_cell(term, |c, _| c.applied(&batch, rev));
+                caution.applied();
+                let now = node.now();
+                node.with_cell(term, |c, _| {
+                    c.applied(&batch, rev);
+                    c.alone = caution.alone > 0;
+                    c.follow(now);
+                });
                 node.bump();
             }
             Outcome::Conflict(keys) => {
@@ -378,10 +500,20 @@
             Outcome::NoLease => return "its lease has run out",
             Outcome::Malformed => {
                 // One record that can't be written must not keep all others from it.
-                alone = true;
-                node.with_cell(term, |c, _| c.malformed(&batch));
+                node.with_cell(term, |c, _| {
+                    let sole = c.malformed(&batch);
+                    caution.malformed(&batch, sole);
+                    c.alone = caution.alone > 0;
+                });
+                node.bump();
                 sleep(ms(100)).await;
             }
+            Outcome::TooMany => {
+                tracing::warn!("the state service refuses {} changes: too many", batch.apply.len());
+                caution.pace = (caution.pace * 0.8).max(0.2);
+                node.with_cell(term, |c, _| c.commits.too_many += 1);
+                sleep(ms(250)).await;
+            }
             Outcome::Refused => sleep(ms(150)).await,
             Outcome::Unknown => sleep(ms(100)).await,
         }
@@ -411,6 +543,7 @@
         beat += 1;
         let direct = node.with_cell(term, |c, lead| {
             c.expire(now);
+            c.follow(now);
             if beat.is_multiple_of(5) {
                 c.stir = true;
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod names;
 pub mod node;
+pub mod pipelines;
 pub mod placement;
 pub mod settings;
 pub mod store;
--- a/src/node.rs
+++ b/src/node.rs
@@ -5,9 +5,11 @@
 use crate::fleet::{Cloud, Flavor, Pace, WireFlavor};
 use crate::http::{Client, encode};
 use crate::jobs::{self, Refusal, Shown};
+use crate::pipelines::{Awaits, Named};
 use crate::settings::Settings;
 use crate::store::{FinalRecord, JobRecord, Store, StoreError};
 use crate::workers::{Report, Taken};
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -78,6 +80,14 @@
     pub refused: [AtomicU64; 3],
 }
 
+/// What a submission comes to.
+enum Taking {
+    In(String),
+    /// Its id, and the jobs about which the records have to be asked first.
+    Ask(String, Vec<String>),
+    Refused(Reply),
+}
+
 /// What a request was refused for, as the metrics name it.
 pub const REFUSALS: [&str; 3] = ["requests at once", "questions at once", "look-ups"];
 
@@ -100,12 +110,18 @@
 /// Workers that have lost their node try the next one a second later: while nobody leads, one is
 /// heard at least so often at a node that they can reach.
 const WORKER_MS: u64 = 2000;
+/// How often a submission asks the records about jobs that it waits for.
+const READS: usize = 4;
+/// What a job takes of the leader's memory, in tasks.
+const JOB_AS_TASKS: usize = 40;
+/// Waiting jobs that are looked at, without a leader, for one that somebody asks about.
+const WALK: usize = 6;
 /// The answer of a node that neither leads nor reaches a leader.
 const NOT_ENTITLED: u16 = 421;
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
-        let share = settings.deployment.state.rps * LOOKUPS;
+        let share = settings.deployment.state.rps() * LOOKUPS;
         let lookups = Pace::new(share / (settings.members.len() + 1) as f64, 0);
         Node {
             cluster: Cluster::new(&settings),
@@ -389,32 +405,75 @@
         {
             return self.accepted(term, uid, 200).await;
         }
-        match self.take_in(term, body) {
-            Some(Ok(uid)) => self.accepted(term, &uid, 201).await,
-            // A repeat of a job that is over gets its state, whatever else could be said of it.
-            // What is taken in needs no look-up: its record is conditional on there being none.
-            Some(Err(refusal)) => match peeked {
-                Some(uid) => match self.past(term, &uid).await {
-                    Ok(Some(f)) => Reply::new(200, &shown_final(&uid, &f)),
-                    Ok(None) if self.known(term, &uid).is_none() => refusal,
-                    Ok(None) => self.accepted(term, &uid, 200).await,
-                    Err(later) => later,
-                },
-                None => refusal,
-            },
-            None => Reply::later("the leader has changed", 1),
-        }
-    }
-
-    /// Checks and admits a submission that is not known in memory. Err: the refusal.
-    fn take_in(&self, term: u64, body: &[u8]) -> Option<Result<String, Reply>> {
+        // What the records say of jobs that it waits for and that are not in memory.
+        let mut read = HashMap::new();
+        for _ in 0..READS {
+            let taken = match self.take_in(term, body, &read) {
+                Some(taken) => taken,
+                None => return Reply::later("the leader has changed", 1),
+            };
+            let ask = match (taken, &peeked) {
+                (Taking::In(uid), _) => return self.accepted(term, &uid, 201).await,
+                (Taking::Refused(refusal), None) => return refusal,
+                // A repeat of a job that is over gets its state, whatever else could be said of
+                // it. What is taken in needs no look-up: its record is conditional on there being
+                // none.
+                (Taking::Refused(refusal), Some(uid)) => {
+                    return match self.past(term, uid).await {
+                        Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
+                        Ok(None) if self.known(term, uid).is_none() => refusal,
+                        Ok(None) => self.accepted(term, uid, 200).await,
+                        Err(later) => later,
+                    };
+                }
+                (Taking::Ask(own, ask), _) => {
+                    if read.is_empty() {
+                        match self.past(term, &own).await {
+                            Ok(Some(f)) => return Reply::new(200, &shown_final(&own, &f)),
+                            Ok(None) => {}
+                            Err(later) => return later,
+                        }
+                    }
+                    ask
+                }
+            };
+            for uid in ask {
+                match self.look_up(term, &uid).await {
+                    Ok(named) => read.insert(uid, named),
+                    Err(later) => return later,
+                };
+            }
+        }
+        Reply::later("the jobs that it waits for change too fast", 1)
+    }
+
+    /// What the records say of a job that is not in memory. Err: no certain answer now.
+    async fn look_up(&self, term: u64, uid: &str) -> Result<Named, Reply> {
+        match self.past(term, uid).await? {
+            Some(f) if f.done => return Ok(Named::Done),
+            Some(_) => return Ok(Named::Cancelled),
+            None => {}
+        }
+        if !self.may_look_up(1) {
+            return Err(self.too_many(2));
+        }
+        // Accepted under other settings it would be on record without being in memory.
+        match self.store.get::<serde::de::IgnoredAny>(&format!("j/{uid}")).await {
+            Ok(Some(_)) => Ok(Named::Open),
+            Ok(None) if self.leading(false) => Ok(Named::Never),
+            _ => Err(Reply::later("no certain answer about a job that it waits for", 1)),
+        }
+    }
+
+    /// Checks and admits a submission that is not known in memory.
+    fn take_in(&self, term: u64, body: &[u8], read: &HashMap<String, Named>) -> Option<Taking> {
         let mut job = match jobs::parse(body) {
             Ok(job) => job,
-            Err(e) => return Some(Err(Reply::error(400, &e.to_string()))),
+            Err(e) => return Some(Taking::Refused(Reply::error(400, &e.to_string()))),
         };
         let uid = job.uid.clone();
         let now = self.now();
-        self.with_cell(term, |c, lead| {
+        let taken = self.with_cell(term, |c, lead| {
             if !lead {
                 return Err(Reply::later("not in authority", 1));
             }
@@ -433,7 +492,8 @@
                     return Err(Reply::error(400, &e.to_string()));
                 }
             };
-            let open: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
+            let tasks: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
+            let open = tasks + c.jobs.len() * JOB_AS_TASKS;
             if open + spec.tasks as usize > c.settings.most_tasks() {
                 return Err(Reply::later("more tasks than fit into memory", 20));
             }
@@ -444,7 +504,32 @@
                 berths.dedup();
                 berths.retain(|b| c.flavors.iter().any(|f| f.label == *b));
             }
-            let routed = match c.admit(&spec, now) {
+            if c.empty_record_bytes(&job) + 64 > c.value_limit {
+                return Err(Reply::error(400, "malformed: names too long to be recorded"));
+            }
+            let awaits = job.awaits.take().unwrap_or_default();
+            let (open, dead) = match c.look_at_awaits(&awaits, read) {
+                Awaits::Open(open) => (open, false),
+                Awaits::Cancelled => (vec![], true),
+                Awaits::Ask(ask) => return Ok(Some(ask)),
+                Awaits::Later => {
+                    return Err(Reply::later("a job that it waits for is being recorded", 1));
+                }
+                Awaits::Never(other) => {
+                    let why = format!("can never run: {other}, which it waits for, is unknown");
+                    tracing::info!("refuse {uid}: {why}");
+                    return Err(Reply::error(422, &why));
+                }
+                Awaits::Service(other) => {
+                    let why = format!("can never run: {other}, which it waits for, is a service");
+                    tracing::info!("refuse {uid}: {why}");
+                    return Err(Reply::error(422, &why));
+                }
+            };
+            let wait = c.expected_wait(&open, now);
+            let routed = match c.admit_after(&spec, wait, now) {
+                // Cancelled with what it waits for, it needs no room.
+                Err(_) if dead => vec![0; c.pools()],
                 Ok(routed) => routed,
                 Err(nu) => {
                     tracing::info!("refuse {uid}: lowest index {nu:.6} reaches the rejection cost");
@@ -464,13 +549,27 @@
                 spec.image_gb,
                 spec.deadline_s,
             );
-            let id = c.insert_job(spec, job, Self::wall_ms(), now as i64);
+            let id = c.insert_job(spec, job.clone(), Self::wall_ms(), now as i64);
+            if !open.is_empty() {
+                c.split_links(id, &job, &open);
+            }
             let ver = c.touch(crate::cell::Key::Job(id));
             if let Some(j) = c.jobs.get_mut(&id) {
                 j.routed = routed;
                 j.accept_ver = ver;
             }
-            Ok(uid)
+            if !open.is_empty() {
+                c.park(id, open, now);
+                c.follow(now);
+            } else if dead {
+                c.accept_cancelled(id, now);
+            }
+            Ok(None)
+        });
+        Some(match taken? {
+            Ok(None) => Taking::In(uid),
+            Ok(Some(ask)) => Taking::Ask(uid, ask),
+            Err(refusal) => Taking::Refused(refusal),
         })
     }
 
@@ -532,15 +631,52 @@
         match (self.store.get::<FinalRecord>(&format!("f/{uid}")).await, open) {
             (Ok(Some((f, _))), _) => Reply::new(200, &shown_final(uid, &f)),
             (Ok(None), Some((record, _))) => {
-                let status = if record.cancelled { "aborted" } else { "queued" }.to_string();
+                let cancelled = match (record.cancelled, record.waits) {
+                    (true, _) => Some(true),
+                    (false, None) => Some(false),
+                    (false, Some(waits)) if waits.parts == 0 => self.any_cancelled(waits.on).await,
+                    _ => None,
+                };
+                let Some(cancelled) = cancelled else { return later };
                 let why = Some("waiting for a leader".to_string());
-                Reply::new(200, &Shown { uid: uid.into(), status, done: 0, running: 0, why })
+                let status = if cancelled { "aborted" } else { "queued" };
+                Reply::new(200, &Shown { why, ..Shown::new(uid, status) })
             }
             (Ok(None), None) => Reply::error(404, "unknown job"),
             (Err(_), _) => later,
         }
     }
 
+    /// Without a leader: is any of these jobs cancelled, or any that they wait for? A leader may
+    /// have told so of those that need it. None: that can't be told with a few look-ups.
+    async fn any_cancelled(&self, on: Vec<String>) -> Option<bool> {
+        let mut asked = HashSet::new();
+        let mut next = on;
+        while let Some(uid) = next.pop() {
+            if !asked.insert(uid.clone()) {
+                continue;
+            }
+            if asked.len() > WALK || !self.may_look_up(2) {
+                return None;
+            }
+            // The open record first, as above.
+            let open = self.store.get::<JobRecord>(&format!("j/{uid}")).await.ok()?;
+            let last = self.store.get::<FinalRecord>(&format!("f/{uid}")).await.ok()?;
+            match (last, open) {
+                (Some((last, _)), _) if !last.done => return Some(true),
+                (None, Some((record, _))) if record.cancelled => return Some(true),
+                (None, Some((JobRecord { waits: Some(waits), .. }, _))) => {
+                    if waits.parts > 0 {
+                        return None;
+                    }
+                    next.extend(waits.on);
+                }
+                _ => {}
+            }
+        }
+        Some(false)
+    }
+
     async fn cancel(&self, body: &[u8]) -> Reply {
         let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
         if !jobs::valid_uid(uid) {
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: in which order jobs are served, which machine a task gets, room kept for gangs,
 //! and who has to make room for whom.
 
-use crate::cell::{Cell, Usage};
+use crate::cell::{Cell, GROUP_BYTES, RANGE_BYTES, Usage};
 use crate::jobs::{EPS, Job, Precedence, Shape, Spec, Wait};
 use crate::names::*;
 use crate::workers::Seen;
@@ -19,15 +19,16 @@
     pub cards: f64,
     pub mem_gb: f64,
     pub images: Vec<ImageId>,
-    /// Groups of tasks, each placed at once, that the machine's record still has room for.
-    pub groups: usize,
+    /// Bytes that the machine's record still has for groups of tasks, each placed at once.
+    pub record: usize,
     pub reserved: Option<JobId>,
 }
 
 impl Slot {
     /// How many tasks of this shape fit.
     pub fn fits(&self, spec: &Spec) -> u32 {
-        if self.groups == 0 {
+        let listed = (self.record.saturating_sub(GROUP_BYTES) / RANGE_BYTES).min(256) as u32;
+        if listed == 0 {
             return 0;
         }
         let part = |free: f64, need: f64| {
@@ -35,17 +36,18 @@
         };
         part(self.cpus, spec.cpus)
             .min(part(self.mem_gb, spec.mem_gb))
-            .min(part(self.cards, spec.cards)) as u32
+            .min(part(self.cards, spec.cards))
+            .min(f64::from(listed)) as u32
     }
 
     pub fn take(&mut self, spec: &Spec, n: u32) {
+        if n > 0 {
+            self.record = self.record.saturating_sub(GROUP_BYTES + RANGE_BYTES * n as usize);
+        }
         let n = f64::from(n);
         self.cpus -= spec.cpus * n;
         self.cards -= spec.cards * n;
         self.mem_gb -= spec.mem_gb * n;
-        if n > 0.0 {
-            self.groups = self.groups.saturating_sub(1);
-        }
     }
 
     /// Does at least one task fit here, with nobody else's reservation in the way?
@@ -139,7 +141,9 @@
         let spec = &job.spec;
         let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
         let span = 1.0 / self.theta(spec);
-        let age = (now as i64 - job.born) as f64 / 1000.0;
+        // A deadline counts from the submission, everything else from when nothing is missing.
+        let from = if spec.deadline_s.is_some() { job.born } else { job.since };
+        let age = (now as i64 - from) as f64 / 1000.0;
         if age > 3.0 * span {
             return (0, 0);
         }
@@ -150,11 +154,12 @@
 
     pub fn slots(&self, now: u64) -> Vec<Slot> {
         let silence = self.silence();
-        let most = self.settings.most_groups();
         self.machines
             .iter()
-            .filter(|(_, m)| m.usable(now, silence) && m.groups_left(most) > 0)
-            .map(|(mid, m)| Slot {
+            .filter(|(_, m)| m.usable(now, silence))
+            .map(|(mid, m)| (mid, m, self.record_room(m)))
+            .filter(|(.., record)| *record >= GROUP_BYTES + RANGE_BYTES)
+            .map(|(mid, m, record)| Slot {
                 mid: *mid,
                 kind: m.kind,
                 zone: m.zone,
@@ -163,7 +168,7 @@
                 cards: m.cards - m.used_cards,
                 mem_gb: m.mem_gb - m.used_mem,
                 images: m.images.iter().map(|(i, _)| *i).collect(),
-                groups: m.groups_left(most),
+                record,
                 reserved: m.reserved.filter(|(_, until)| now < *until).map(|(id, _)| id),
             })
             .collect()
@@ -218,7 +223,8 @@
             if job.waiting.is_empty() {
                 continue;
             }
-            if !self.is_saved(&crate::cell::Key::Job(r.id), job.accept_ver) {
+            let safe = job.accept_ver.max(job.start_ver);
+            if !self.is_saved(&crate::cell::Key::Job(r.id), safe) {
                 continue;
             }
             if now < job.retry_at {
@@ -650,7 +656,7 @@
                 cards: m.cards - m.used_cards,
                 mem_gb: m.mem_gb - m.used_mem,
                 images: vec![],
-                groups: usize::MAX,
+                record: usize::MAX,
                 reserved: None,
             };
             for ((v, _), e) in &m.entries {
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -3,7 +3,7 @@
 
 use crate::cell::{Cell, Key, Names};
 use crate::jobs::{JobBody, Shape, admit_shape};
-use crate::leadership::rebuild;
+use crate::leadership::{Records, rebuild};
 use crate::names::*;
 use crate::store::{Change, Cond, JobRecord, MachineRecord, OnRecord, Record};
 use crate::workers::{Order, Parcel, Report, Taken};
@@ -20,6 +20,12 @@
     Cell::new(settings, TERM, leader, T0, names, flavors)
 }
 
+/// The record of an open job that waits for nothing.
+pub fn record(uid: &str) -> JobRecord {
+    let job = crate::jobs::tests::body(uid);
+    JobRecord { job, at: T0, cancelled: false, waits: None, since: None }
+}
+
 fn add_job(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
     let mut body = crate::jobs::tests::body(uid);
     edit(&mut body);
@@ -188,7 +194,7 @@
 #[test]
 fn after_a_takeover_unheard_machines_hold_their_tasks_for_an_isolated_leader() {
     let mut c = cell();
-    let job = JobRecord { job: crate::jobs::tests::body("wk-1"), at: T0, cancelled: false };
+    let job = record("wk-1");
     let machine = MachineRecord {
         addr: "127.0.0.1:9".into(),
         berth: "small".into(),
@@ -198,7 +204,8 @@
         on: vec![OnRecord { j: "wk-1".into(), t: 5, r: vec![0, 2] }],
     };
     let machines = vec![("m/n-1".to_string(), machine, 3)];
-    rebuild(&mut c, vec![("j/wk-1".into(), job, 2)], vec![], machines, vec![], T0);
+    let jobs = vec![("j/wk-1".into(), job, 2)];
+    rebuild(&mut c, Records { jobs, machines, ..Records::default() }, T0);
     let (id, mid) = (c.by_uid["wk-1"], c.by_name["n-1"]);
     assert_eq!(c.jobs[&id].waiting.len(), 1, "two of three may be on the machine");
     assert_eq!(c.usage[0].cpus, 2.0, "and count against the limit");
@@ -399,30 +406,33 @@
 fn a_mass_of_tiny_jobs_does_not_outgrow_a_record() {
     // A guest's hundreds of jobs of one small task each: within one pass a machine was given more
     // of them than its record could hold; such a record is refused, and what it lists never runs.
-    let mut c = cell();
-    let most = c.settings.most_groups();
-    for n in 0..most + 40 {
-        let mut body = crate::jobs::tests::body(&format!("wk-{:020}", n));
-        (body.owner, body.parcels, body.cpus, body.mem_gb) = ("guest".into(), 1, 0.1, 0.1);
-        let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
-        let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
-        let id = c.insert_job(spec, body, T0, T0 as i64);
-        let ver = c.touch(Key::Job(id));
-        c.jobs.get_mut(&id).expect("there").accept_ver = ver;
+    // 8 KiB, and 2 KiB announced.
+    for (limit, least) in [(8192, 90), (2048, 20)] {
+        let mut c = cell();
+        c.value_limit = limit;
+        for n in 0..300 {
+            let mut body = crate::jobs::tests::body(&format!("wk-{n:020}"));
+            (body.owner, body.parcels, body.cpus, body.mem_gb) = ("guest".into(), 1, 0.1, 0.1);
+            let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
+            let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
+            let id = c.insert_job(spec, body, T0, T0 as i64);
+            let ver = c.touch(Key::Job(id));
+            c.jobs.get_mut(&id).expect("there").accept_ver = ver;
+        }
+        commit(&mut c);
+        let r = Report { berth: "big".into(), ..report(1, 1, TERM, &[]) };
+        assert!(matches!(c.on_report(&r, T0), Taken::Answer(_)));
+        for pass in 0..5 {
+            c.place(T0 + pass * 1000);
+        }
+        let on = c.machines[&c.by_name["n-1"]].entries.len();
+        let put = commit(&mut c).into_iter().find_map(|change| match change {
+            Change::Put { put, v, .. } if put == "m/n-1" => Some(v.bytes()),
+            _ => None,
+        });
+        let size = put.expect("recorded");
+        assert!(on >= least && size <= limit && c.held_back.is_empty(), "{on} tasks, {size}");
     }
-    commit(&mut c);
-    let r = Report { berth: "big".into(), ..report(1, 1, TERM, &[]) };
-    assert!(matches!(c.on_report(&r, T0), Taken::Answer(_)));
-    c.place(T0);
-    assert_eq!(c.machines[&c.by_name["n-1"]].entries.len(), most);
-    let limit = (c.settings.deployment.state.value_kb * 1024.0) as usize;
-    let put = commit(&mut c).into_iter().find_map(|change| match change {
-        Change::Put { put, v, .. } if put == "m/n-1" => Some(v),
-        _ => None,
-    });
-    // In MessagePack; in JSON, in which the limit is measured, up to a fifth more.
-    let size = crate::http::encode(&put.expect("recorded")).len();
-    assert!(size * 6 / 5 < limit, "{size}");
 }
 
 #[test]
@@ -553,7 +563,7 @@
 fn restarts_during_an_outage_lose_nothing_and_start_nothing() {
     // Every controller restarts before any could write: each reads the same records, and waits for
     // the same machines from its own takeover on.
-    let job = JobRecord { job: crate::jobs::tests::body("wk-1"), at: T0, cancelled: false };
+    let job = record("wk-1");
     let machine = MachineRecord {
         addr: "127.0.0.1:9".into(),
         berth: "big".into(),
@@ -567,7 +577,7 @@
         c.taken = takeover;
         let jobs = vec![("j/wk-1".to_string(), job.clone(), 2)];
         let machines = vec![("m/n-1".to_string(), machine.clone(), 3)];
-        rebuild(&mut c, jobs, vec![], machines, vec![], takeover);
+        rebuild(&mut c, Records { jobs, machines, ..Records::default() }, takeover);
         // A healthy machine of another name reports: nothing may be started on it.
         let mut r = report(1, 1, TERM, &[]);
         r.hearth = "n-2".into();
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -108,12 +108,51 @@
     pub cancel_s: f64,
 }
 
+/// Limits of the state service. `next` announces those that it will have from some moment on,
+/// without notice: what is written keeps to the smaller of both from the start.
 #[derive(Debug, Clone, Deserialize)]
 pub struct StateLimits {
     pub rps: f64,
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    #[serde(default)]
+    pub next: Option<NextLimits>,
+}
+
+/// What changes; what is left out stays as it is.
+#[derive(Debug, Clone, Default, Deserialize)]
+pub struct NextLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    pub fn rps(&self) -> f64 {
+        self.next.as_ref().and_then(|n| n.rps).map_or(self.rps, |n| n.min(self.rps))
+    }
+
+    pub fn write_rps(&self) -> f64 {
+        let next = self.next.as_ref().and_then(|n| n.write_rps);
+        next.map_or(self.write_rps, |n| n.min(self.write_rps))
+    }
+
+    pub fn txn_ops(&self) -> usize {
+        let next = self.next.as_ref().and_then(|n| n.txn_ops);
+        next.map_or(self.txn_ops, |n| n.min(self.txn_ops))
+    }
+
+    /// The longest value, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        let next = self.next.as_ref().and_then(|n| n.value_kb);
+        (next.map_or(self.value_kb, |n| n.min(self.value_kb)) * 1024.0) as usize
+    }
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -173,6 +212,9 @@
     }
 }
 
+/// A value has to hold a job's record or a quarter of the finished ranges of a chunk.
+pub const LEAST_VALUE: usize = 1536;
+
 /// Reads and checks both files.
 pub fn load(path: &Path, tuning: Option<&Path>) -> Result<Settings, SettingsError> {
     let name = path.display().to_string();
@@ -227,12 +269,30 @@
         positive("deployment.workers.cancel_s", d.workers.cancel_s)?;
         positive("deployment.state.rps", d.state.rps)?;
         positive("deployment.state.write_rps", d.state.write_rps)?;
-        positive("deployment.state.value_kb", d.state.value_kb)?;
+        let next = d.state.next.clone().unwrap_or_default();
+        positive("deployment.state.next.rps", next.rps.unwrap_or(1.0))?;
+        positive("deployment.state.next.write_rps", next.write_rps.unwrap_or(1.0))?;
+        let next_kb = next.value_kb.unwrap_or(d.state.value_kb);
+        for (name, kb) in [
+            ("deployment.state.value_kb", d.state.value_kb),
+            ("deployment.state.next.value_kb", next_kb),
+        ] {
+            positive(name, kb)?;
+            if kb * 1024.0 < LEAST_VALUE as f64 {
+                let why = format!("must be at least {}, is {kb}", LEAST_VALUE as f64 / 1024.0);
+                return Err(SettingsError::Invalid(name, why));
+            }
+        }
         positive("deployment.cloud.rps", d.cloud.rps)?;
         positive("deployment.limits.max_connections", d.limits.max_connections as f64)?;
-        if d.state.txn_ops < 4 {
-            let why = format!("must be at least 4, is {}", d.state.txn_ops);
-            return Err(SettingsError::Invalid("deployment.state.txn_ops", why));
+        for (name, ops) in [
+            ("deployment.state.txn_ops", d.state.txn_ops),
+            ("deployment.state.next.txn_ops", next.txn_ops.unwrap_or(d.state.txn_ops)),
+        ] {
+            if ops < 4 {
+                let why = format!("must be at least 4, is {ops}");
+                return Err(SettingsError::Invalid(name, why));
+            }
         }
         if d.zones.is_empty() {
             return Err(SettingsError::Invalid("deployment.zones", "must not be empty".into()));
@@ -274,11 +334,6 @@
         ((self.deployment.limits.mem_mb * 8000.0) as usize).max(200_000)
     }
 
-    /// Groups of tasks that a machine's record has room for.
-    pub fn most_groups(&self) -> usize {
-        ((self.deployment.state.value_kb * 1024.0 / 72.0) as usize).saturating_sub(8).max(8)
-    }
-
     /// A worker's lease, as long as it may last by another machine's clock.
     pub fn lease_ms(&self) -> u64 {
         (self.deployment.workers.lease_s * 1002.0) as u64 + 100
@@ -354,6 +409,12 @@
             ("cpus_max = 64.0", "cpus_max = -1.0", "teams"),
             ("cpus_max = 64.0", "cpus_max = nan", "teams"),
             ("write_rps = 60.0", "write_rps = 0.0", "write_rps"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { txn_ops = 3 }", "next.txn_ops"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { value_kb = 1.0 }", "next.value_kb"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { value_kb = nan }", "next.value_kb"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { write_rps = -1.0 }", "next.write_rps"),
+            ("txn_ops = 16", "txn_ops = 16\nnext = { rps = inf }", "next.rps"),
+            ("value_kb = 8.0", "value_kb = 0.5", "value_kb"),
         ];
         for (from, to, field) in cases {
             let text = SAMPLE.replace(from, to);
@@ -366,6 +427,25 @@
         assert!(sample().check().is_ok());
     }
 
+    #[test]
+    fn writes_keep_to_the_smaller_limits_from_the_start() {
+        // The state service lowers its limits without notice some time after an upgrade.
+        for (next, expected) in [
+            ("", (250.0, 60.0, 8192, 16)),
+            ("next = {}", (250.0, 60.0, 8192, 16)),
+            ("next = { write_rps = 42.0, value_kb = 2.0, txn_ops = 5 }", (250.0, 42.0, 2048, 5)),
+            // What is raised later is not used before.
+            ("next = { rps = 500.0, value_kb = 16.0, txn_ops = 64 }", (250.0, 60.0, 8192, 16)),
+            ("next = { rps = 100.0, some_day = 3 }", (100.0, 60.0, 8192, 16)),
+        ] {
+            let text = SAMPLE.replace("txn_ops = 16", &format!("txn_ops = 16\n{next}"));
+            let s: Settings = toml::from_str(&text).expect(next);
+            assert!(s.check().is_ok(), "{next}");
+            let l = &s.deployment.state;
+            assert_eq!((l.rps(), l.write_rps(), l.value_bytes(), l.txn_ops()), expected, "{next}");
+        }
+    }
+
     #[test]
     fn a_limit_of_0_is_none() {
         // Found on recorded days: a guest team's settings hold nothing but its name, and each of
--- a/src/store.rs
+++ b/src/store.rs
@@ -29,8 +29,10 @@
     NoLease,
     /// Surely not executed.
     Refused,
-    /// Called malformed: it will never be executed as it is.
+    /// Called malformed, or larger than the service takes: it will never be executed as it is.
     Malformed,
+    /// Not executed: more changes in a second than the service takes.
+    TooMany,
     /// Perhaps executed, perhaps later.
     Unknown,
 }
@@ -57,6 +59,31 @@
     pub at: u64,
     #[serde(default)]
     pub cancelled: bool,
+    /// While it waits for other jobs. Its `berths` say meanwhile that no machine type will do, so
+    /// that a version that doesn't know of waiting calls it queued, starts nothing of it and
+    /// leaves the record alone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub waits: Option<Waits>,
+    /// When it ceased to wait, time of day in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub since: Option<u64>,
+}
+
+/// What a job waits for, and the machine types that it may use then.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Waits {
+    pub on: Vec<String>,
+    #[serde(default)]
+    pub berths: Option<Vec<String>>,
+    /// How many records `a/ID/N`, written before this one, list more.
+    #[serde(default)]
+    pub parts: u32,
+}
+
+/// `a/ID/N`: more of what a job waits for than its own record has room for.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct LinksRecord {
+    pub on: Vec<String>,
 }
 
 /// `d/ID/CHUNK`: finished tasks as start, length, start, length…
@@ -118,6 +145,7 @@
     Leader(LeaderRecord),
     Term(TermRecord),
     Job(Box<JobRecord>),
+    Links(LinksRecord),
     Done(DoneRecord),
     Final(FinalRecord),
     Machine(MachineRecord),
@@ -140,7 +168,38 @@
     },
 }
 
+/// Counts what is written.
+struct Count(usize);
+
+impl std::io::Write for Count {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Record {
+    /// How long the value is: as JSON, in which the protocol measures, or as MessagePack, in which
+    /// it is sent, whichever is longer.
+    pub fn bytes(&self) -> usize {
+        let mut json = Count(0);
+        let counted = serde_json::to_writer(&mut json, self);
+        encode(self).len().max(if counted.is_ok() { json.0 } else { usize::MAX })
+    }
+}
+
 impl Change {
+    /// How long the value of a put is.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Change::Put { v, .. } => v.bytes(),
+            Change::Delete { .. } => 0,
+        }
+    }
+
     pub fn path(&self) -> &str {
         match self {
             Change::Put { put, .. } => put,
@@ -274,7 +333,8 @@
                         Outcome::Malformed
                     }
                 }
-                429 | 503 => Outcome::Refused,
+                429 => Outcome::TooMany,
+                503 => Outcome::Refused,
                 _ => Outcome::Unknown,
             },
             Err(CallError::Refused(_)) => Outcome::Refused,
--- a/src/workers.rs
+++ b/src/workers.rs
@@ -198,16 +198,6 @@
         }
     }
 
-    /// How many more groups of tasks its record has room for, of `most` in all.
-    pub fn groups_left(&self, most: usize) -> usize {
-        if self.entries.len() < most {
-            return most - self.entries.len();
-        }
-        let groups: BTreeSet<_> =
-            self.entries.iter().map(|((id, _), e)| (*id, e.attempt)).collect();
-        most.saturating_sub(groups.len())
-    }
-
     pub fn usable(&self, now: u64, silence: u64) -> bool {
         self.fenced
             && !self.faulty
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -10,7 +10,7 @@
 use copperhaven::cell::{Batch, Cell, Key, Names};
 use copperhaven::fleet::Flavor;
 use copperhaven::jobs::{self, JobBody, Precedence, Shape};
-use copperhaven::leadership::rebuild;
+use copperhaven::leadership::{Records, rebuild};
 use copperhaven::settings::Settings;
 use copperhaven::store::{Change, Cond, Record};
 use copperhaven::workers::{Order, Parcel, Report, Taken};
@@ -222,17 +222,18 @@
         let leader = Cond { path: "c/leader".into(), stamp: self.rev };
         let (term, now) = (self.term, self.now);
         let mut cell = Cell::new(self.settings.clone(), term, leader, now, names, flavors);
-        let (mut j, mut d, mut m, mut r) = (vec![], vec![], vec![], vec![]);
+        let mut read = Records::default();
         for (path, (record, stamp)) in &self.store {
             match record.clone() {
-                Record::Job(x) => j.push((path.clone(), *x, *stamp)),
-                Record::Done(x) => d.push((path.clone(), x, *stamp)),
-                Record::Machine(x) => m.push((path.clone(), x, *stamp)),
-                Record::Rental(x) => r.push((path.clone(), x, *stamp)),
+                Record::Job(x) => read.jobs.push((path.clone(), *x, *stamp)),
+                Record::Done(x) => read.done.push((path.clone(), x, *stamp)),
+                Record::Machine(x) => read.machines.push((path.clone(), x, *stamp)),
+                Record::Rental(x) => read.rentals.push((path.clone(), x, *stamp)),
+                Record::Links(x) => read.links.push((path.clone(), x, *stamp)),
                 _ => {}
             }
         }
-        rebuild(&mut cell, j, d, m, r, now);
+        rebuild(&mut cell, read, now);
         let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
         self.leaders.push(Leader {
             term,
@@ -689,6 +690,7 @@
                 stamp_every_s: 0.0,
                 stamp_s: 0.0,
                 due_s: None,
+                awaits: None,
             };
             let cell = &mut self.leaders[k].cell;
             let (settings, flavors) = (cell.settings.clone(), cell.flavors.clone());
