--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -13,6 +13,10 @@
 use zerocopy::byteorder::little_endian::{U16, U32, U64};
 use zerocopy::{FromBytes, Immutable, IntoBytes, KnownLayout, Unaligned};
 
+/// What this version can do, told in pongs. The version before pipelines tells nothing, which
+/// reads as 0 and counts as release 1.
+pub const RELEASE: u16 = 2;
+
 const MAGIC: u16 = 0x6368;
 const VERSION: u8 = 1;
 const MOST: usize = 256 << 10;
@@ -31,6 +35,7 @@
     hops: u8,
     /// In pongs: 1 if the sender leads.
     leads: u8,
+    /// Of an answer; in pongs: the sender's release.
     status: U16,
     retry_after: U16,
     /// In pongs: bit per member (in order of names) that the sender reaches.
@@ -76,6 +81,16 @@
         }
     }
 
+    fn pong((term, leads): (u64, bool), reaches: u16) -> Header {
+        Header {
+            leads: u8::from(leads),
+            status: U16::new(RELEASE),
+            reaches: U16::new(reaches),
+            term: U64::new(term),
+            ..Header::new(ANSWER, 0, 0)
+        }
+    }
+
     fn frame(&self, body: &[u8]) -> Vec<u8> {
         let mut out = Vec::with_capacity(size_of::<Header>() + body.len());
         out.extend_from_slice(self.as_bytes());
@@ -106,6 +121,8 @@
     pub heard_ms: u64,
     pub term: u64,
     pub leads: bool,
+    /// The release that it runs; 0 if it was never heard.
+    pub release: u16,
     reaches: u16,
 }
 
@@ -200,6 +217,29 @@
         over.map(|l| (l, 1))
     }
 
+    /// Every other member and the release that it was last heard to run, 0 if never.
+    pub fn releases(&self) -> impl Iterator<Item = (&str, u16)> {
+        self.links.iter().map(|l| (l.member.as_str(), l.view().release))
+    }
+
+    /// Do all members run this release, as far as they were heard?
+    pub fn upgraded(&self) -> bool {
+        self.releases().all(|(_, r)| r >= RELEASE)
+    }
+
+    fn tell_release(&self, member: &str, release: u16) {
+        tracing::info!("{member} runs release {release}, this one {RELEASE}");
+        if self.upgraded() {
+            tracing::info!("the upgrade is finished: all controllers run release {RELEASE}");
+        }
+    }
+
+    /// Does the leader run a release that knows pipelines, as far as it was heard?
+    pub fn knows_pipelines(&self, leader: usize) -> bool {
+        let link = self.links.iter().find(|l| l.ix == leader);
+        link.is_none_or(|l| l.view().release != 1)
+    }
+
     /// Is any peer within reach? True where there are none.
     pub fn any_peer(&self, now: u64) -> bool {
         self.links.is_empty() || self.links.iter().any(|l| l.healthy(now))
@@ -251,9 +291,14 @@
                             heard_ms: node.now(),
                             term: h.term.get(),
                             leads: h.leads == 1,
+                            release: h.status.get().max(1),
                             reaches: h.reaches.get(),
                         };
+                        let before = link.view().release;
                         *link.view.lock().expect("lock") = view;
+                        if before != view.release {
+                            node.cluster.tell_release(&link.member, view.release);
+                        }
                         node.heard_peer(link.ix, view);
                         continue;
                     }
@@ -320,11 +365,8 @@
             timeout(Duration::from_secs(10), read_frame(&mut read)).await
         {
             if h.kind == PING {
-                let mut pong = Header::new(ANSWER, 0, 0);
-                let (term, leads) = node.standing();
-                pong.term = U64::new(term);
-                pong.leads = u8::from(leads);
-                pong.reaches = U16::new(node.cluster.reaches(node.now()));
+                let reaches = node.cluster.reaches(node.now());
+                let pong = Header::pong(node.standing(), reaches);
                 if tx.send(pong.frame(&[])).await.is_err() {
                     break;
                 }
@@ -383,4 +425,25 @@
         }
         assert!(Header::parse(&good[..size - 1]).is_none());
     }
+
+    #[test]
+    fn frames_of_the_version_in_production() {
+        // It refuses other versions of the layout, and reads of a pong the term, who leads and
+        // who is reached; the release lies where it writes and reads nothing.
+        let fixture = |name: &str| -> Vec<u8> {
+            let text = include_str!("../tests/fixtures/production.txt");
+            let line = text.lines().find_map(|l| l.strip_prefix(name)).expect(name).trim();
+            let byte = |i| u8::from_str_radix(&line[i..i + 2], 16).expect("hex");
+            (0..line.len()).step_by(2).map(byte).collect()
+        };
+        assert_eq!(Header::new(PING, 0, 0).frame(&[]), fixture("frame-ping "));
+        let pong = Header::parse(&fixture("frame-pong ")).expect("understood");
+        assert_eq!((pong.kind, pong.term.get(), pong.status.get()), (ANSWER, 7, 0));
+        let mut ours = Header::pong((7, false), 0);
+        assert_eq!(ours.status.get(), RELEASE);
+        ours.status = U16::new(0);
+        assert_eq!(ours.frame(&[]), fixture("frame-pong "), "but for the release the same");
+        let show = Header::new(Op::Show as u8, 1, 9).frame(b"wk-000412");
+        assert_eq!(show, fixture("frame-show "));
+    }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -54,14 +54,31 @@
     for (what, yes) in [("state", state_service), ("peer", peer), ("leader", node.up())] {
         reach.get_or_create(&vec![("what", what.into())]).set(f64::from(u8::from(yes)));
     }
+    let release = figure("release", "Release that each controller was last heard to run, 0: never");
+    let own = (node.settings.member.as_str(), crate::cluster::RELEASE);
+    for (member, r) in node.cluster.releases().chain([own]) {
+        release.get_or_create(&vec![("member", member.into())]).set(f64::from(r));
+    }
+    let upgraded = figure("upgrade_finished", "1 if all controllers run this one's release");
+    let held = figure("records_held_back", "Records too long to be written until they shrink");
+    let writes_refused =
+        figure("refused_writes", "Transactions of this term that the state service refused");
     let (seen, leads) = node.standing();
     let none: Labels = vec![];
+    upgraded.get_or_create(&none).set(f64::from(u8::from(node.cluster.upgraded())));
     term.get_or_create(&none).set(seen as f64);
     leader.get_or_create(&none).set(f64::from(u8::from(leads)));
     let now = node.now();
     node.with_cell(seen, |c, _| {
         for (state, n) in [
-            ("waiting", c.jobs.values().filter(|j| j.open() && j.running == 0).count()),
+            ("awaiting", c.jobs.values().filter(|j| j.open() && !j.awaits.is_empty()).count()),
+            (
+                "waiting",
+                c.jobs
+                    .values()
+                    .filter(|j| j.open() && j.running == 0 && j.awaits.is_empty())
+                    .count(),
+            ),
             ("running", c.jobs.values().filter(|j| j.open() && j.running > 0).count()),
             ("ending", c.jobs.values().filter(|j| !j.open()).count()),
         ] {
@@ -112,6 +129,12 @@
         }
         dirty.get_or_create(&none).set(c.dirty.len() as f64);
         writes.get_or_create(&none).set(c.commits.writes as f64);
+        held.get_or_create(&none).set(c.held_back.len() as f64);
+        for (why, n) in
+            [("too large", c.commits.too_large), ("too many changes", c.commits.too_many)]
+        {
+            writes_refused.get_or_create(&vec![("why", why.into())]).set(n as f64);
+        }
         for (name, q) in [("0.5", 0.5), ("0.99", 0.99), ("1", 1.0)] {
             let s = c.commits.micros.value_at_quantile(q) as f64 / 1e6;
             latency.get_or_create(&vec![("quantile", name.into())]).set(s);
--- a/src/node.rs
+++ b/src/node.rs
@@ -322,6 +322,14 @@
                 Op::Report => self.report(body).await,
             };
         }
+        // A leader of the version before would overlook what it has to wait for.
+        if op == Op::Submit
+            && let Some(leader) = self.leader()
+            && !self.cluster.knows_pipelines(leader)
+            && jobs::parse(body).is_ok_and(|job| job.awaits.is_some_and(|a| !a.is_empty()))
+        {
+            return Reply::later("the upgrade is under way", 2);
+        }
         let limit = if op == Op::Show { Duration::from_millis(800) } else { FORWARD };
         let limit = if op == Op::Report { REPORT_FORWARD } else { limit };
         if hops > 0
