--- a/src/cell.rs
+++ b/src/cell.rs
@@ -982,6 +982,13 @@
         }
     }
 
+    /// Takes a job for recorded as it is; for tests.
+    #[cfg(test)]
+    pub fn applied_for_test(&mut self, id: JobId) {
+        self.dirty.remove(&Key::Job(id));
+        self.mark_saved(Key::Job(id));
+    }
+
     /// Every list that must agree does; for tests.
     #[cfg(test)]
     pub fn check(&self) {
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -26,7 +26,7 @@
     JobRecord { job, at: T0, cancelled: false, waits: None, since: None }
 }
 
-fn add_job(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
+pub fn add_job(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
     let mut body = crate::jobs::tests::body(uid);
     edit(&mut body);
     let settings = c.settings.clone();
@@ -39,7 +39,7 @@
 }
 
 /// Everything dirty is recorded.
-fn commit(c: &mut Cell) -> Vec<Change> {
+pub fn commit(c: &mut Cell) -> Vec<Change> {
     let mut out = vec![];
     let mut rev = 1000;
     while let Some(batch) = c.batch(16) {
@@ -51,7 +51,7 @@
     out
 }
 
-fn report(shift: u64, tally: u64, warrant: u64, parcels: &[(&str, u64, &str)]) -> Report {
+pub fn report(shift: u64, tally: u64, warrant: u64, parcels: &[(&str, u64, &str)]) -> Report {
     let parcels = parcels
         .iter()
         .map(|(p, attempt, status)| {
@@ -80,7 +80,7 @@
 }
 
 /// Takes a report in, places, records, and returns the orders of its response.
-fn exchange(c: &mut Cell, r: &Report, now: u64) -> Vec<Order> {
+pub fn exchange(c: &mut Cell, r: &Report, now: u64) -> Vec<Order> {
     let Taken::Answer(mid) = c.on_report(r, now) else { panic!("not answered") };
     c.place(now);
     commit(c);
