--- a/src/node.rs
+++ b/src/node.rs
@@ -557,20 +557,12 @@
                 spec.image_gb,
                 spec.deadline_s,
             );
-            let id = c.insert_job(spec, job.clone(), Self::wall_ms(), now as i64);
-            if !open.is_empty() {
-                c.split_links(id, &job, &open);
-            }
-            let ver = c.touch(crate::cell::Key::Job(id));
-            if let Some(j) = c.jobs.get_mut(&id) {
+            let id = c.take_in(spec, job, (open, dead), Self::wall_ms(), now);
+            if let Some(j) = c.jobs.get_mut(&id)
+                && j.awaits.is_empty()
+                && j.open()
+            {
                 j.routed = routed;
-                j.accept_ver = ver;
-            }
-            if !open.is_empty() {
-                c.park(id, open, now);
-                c.follow(now);
-            } else if dead {
-                c.accept_cancelled(id, now);
             }
             Ok(None)
         });
