--- a/src/node.rs
+++ b/src/node.rs
@@ -546,7 +546,7 @@
                 }
             };
             tracing::debug!(
-                "take in {uid}: {} {} of {}, {:?} {:?}, {} tasks of {} cpus, {} GB image, due in {:?} s",
+                "take in {uid}: {} {} of {}, {:?} {:?}, {} tasks of {} cpus, {} GB image, due in {:?} s, after {awaits:?}",
                 if spec.spot { "spot" } else { "ordinary" },
                 job.lot,
                 job.owner,
