--- a/src/pipelines.rs
+++ b/src/pipelines.rs
@@ -641,7 +641,7 @@
                 // One that names a cancelled job is accepted, and aborted.
                 let named = c.look_at_awaits(&ids(&["wk-5"]), &HashMap::new());
                 assert_eq!(named, Awaits::Cancelled);
-                add_waiting(&mut c, "wk-8", &["wk-7", "wk-5"], |_| ());
+                add_waiting(&mut c, "wk-8", &["wk-6", "wk-5"], |_| ());
                 commit(&mut c);
                 assert_eq!(status(&c, "wk-8"), "aborted");
             }
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -252,12 +252,17 @@
             let Some(job) = self.jobs.get_mut(&r.id) else { continue };
             job.wait = wait;
             if wait == Wait::TeamLimit {
-                if spec.shape != Shape::Gang
-                    && slots.iter().any(|s| s.open_to(&spec))
-                    && self.make_team_room(r.id, &spec, now)
-                    && let Some(job) = self.jobs.get_mut(&r.id)
-                {
-                    job.wait = Wait::Stopping;
+                // As below: looking through all that runs is dear.
+                let futile = now < job.look_at || !self.lower_work(&spec);
+                if spec.shape != Shape::Gang && !futile && slots.iter().any(|s| s.open_to(&spec)) {
+                    let found = self.make_team_room(r.id, &spec, now);
+                    if let Some(job) = self.jobs.get_mut(&r.id) {
+                        if found {
+                            job.wait = Wait::Stopping;
+                        } else {
+                            job.look_at = now + LOOK_MS;
+                        }
+                    }
                 }
                 continue;
             }
@@ -558,6 +563,13 @@
             && used.cards + spec.cards * f64::from(n) <= team.gpus_max + EPS
     }
 
+    /// Does the team have work of lower priority on machines, gangs apart? Only that is stopped for
+    /// its limit.
+    fn lower_work(&self, spec: &Spec) -> bool {
+        let lower = &self.split[spec.team.ix()].single[spec.precedence as usize + 1..];
+        lower.iter().any(|u| u.cpus > EPS || u.cards > EPS)
+    }
+
     /// A job that waits for its own team's limit has the team's work of lower priority stopped,
     /// the cheapest first. Returns whether it now waits for tasks that are being stopped.
     fn make_team_room(&mut self, id: JobId, spec: &Spec, now: u64) -> bool {
