--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,7 +6,7 @@
 use crate::leadership::LEADER;
 use crate::names::*;
 use crate::node::Node;
-use crate::placement::Slot;
+use crate::placement::{Ranked, Slot};
 use crate::store::{Change, Cond, Outcome, ProvidedRecord, Record, RentalRecord};
 use crate::workers::Seen;
 use serde::{Deserialize, Serialize};
@@ -113,6 +113,8 @@
     boots: HashMap<(TypeId, ZoneId), VecDeque<(u64, u64)>>,
     /// How many boots were overdue when that was last looked at; for the log.
     pub overdue: usize,
+    /// Machines on which jobs that are soon ready were laid when rentals were last planned.
+    kept: HashSet<MachineId>,
     /// By zone: since when nothing is heard from it, and when it was last tried nevertheless.
     dark: HashMap<ZoneId, (u64, u64)>,
 }
@@ -130,6 +132,7 @@
             provided: None,
             boots: HashMap::new(),
             overdue: 0,
+            kept: HashSet::new(),
             dark: HashMap::new(),
         }
     }
@@ -336,6 +339,12 @@
     /// What to rent now: the work that waits is laid onto free and booting machines in the order
     /// in which it is served; what finds no place is given the cheapest machines that fit it.
     pub fn demand(&self, now: u64) -> Vec<(Kind, u32)> {
+        self.demand_and_kept(now).0
+    }
+
+    /// The same, and the machines on which jobs that are soon ready were laid.
+    fn demand_and_kept(&self, now: u64) -> (Vec<(Kind, u32)>, HashSet<MachineId>) {
+        let mut kept = HashSet::new();
         let mut slots: Vec<Slot> = self.slots(now);
         for s in &mut slots {
             // A machine held for a job gets free for it once the tasks there have stopped.
@@ -389,9 +398,16 @@
         // By priority: a team's lower work makes way for its higher.
         let split = |s: &Split| -> [Usage; 4] { std::array::from_fn(|p| s.at(p)) };
         let mut used: Vec<[Usage; 4]> = self.split.iter().map(split).collect();
-        for r in self.ranked(now) {
+        // Then those that are ready by the time a machine rented now is up.
+        let soon: Vec<Ranked> = self
+            .soon_ready(boot, now)
+            .into_iter()
+            .map(|id| Ranked { id, guaranteed: false })
+            .collect();
+        for r in self.ranked(now).into_iter().chain(soon) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let spec = &job.spec;
+            let early = !job.awaits.is_empty();
             if job.waiting.is_empty() || now < job.retry_at {
                 continue;
             }
@@ -427,6 +443,9 @@
                 let k = slots[i].fits(spec).min(n);
                 slots[i].take(spec, k);
                 n -= k;
+                if early && k > 0 {
+                    kept.insert(slots[i].mid);
+                }
                 if n == 0 {
                     break;
                 }
@@ -472,7 +491,7 @@
                 }
             }
         }
-        out.into_iter().collect()
+        (out.into_iter().collect(), kept)
     }
 
     /// The shortest time within which an objective wants work to start.
@@ -549,7 +568,8 @@
         if self.fleet.rentals.len() >= 8 || self.fleet.provided.is_none() {
             return;
         }
-        let mut wanted = self.demand(now);
+        let (mut wanted, kept) = self.demand_and_kept(now);
+        self.fleet.kept = kept;
         if !wanted.is_empty() {
             wanted.extend(self.probe(now));
         } else {
@@ -692,6 +712,7 @@
                 let keep = self.settings.tuning.idle_boots * self.flavors[m.kind.ix()].boot_s;
                 let unreserved = m.reserved.is_none_or(|(_, until)| now >= until);
                 // The first minute is paid for in any case.
+                let unreserved = unreserved && !self.fleet.kept.contains(mid);
                 let free = unreserved && now > m.rented + MIN_CHARGE_MS;
                 if free && spare >= m.cpus && now > m.idle_since + (keep * 1000.0) as u64 {
                     spare -= m.cpus;
--- a/src/pipelines.rs
+++ b/src/pipelines.rs
@@ -255,6 +255,38 @@
         }
     }
 
+    /// Waiting jobs that are expected to be ready within so many seconds, and so in the order in
+    /// which they are.
+    pub fn soon_ready(&self, within_s: f64, now: u64) -> Vec<JobId> {
+        let mut soon: Vec<(i64, JobId)> = vec![];
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.open() && !j.awaits.is_empty()) {
+            // The last of many is told by the first that is far away.
+            let mut ready = 0;
+            for uid in job.awaits.iter().take(TOLD) {
+                ready =
+                    ready.max(self.job(uid).map_or(i64::MAX, |(id, j)| self.over_at(id, j, now)));
+            }
+            if ready as f64 <= now as f64 + within_s * 1000.0 {
+                soon.push((ready, *id));
+            }
+        }
+        soon.sort_unstable();
+        soon.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// When a job is expected to be done, if all of its tasks have a place already.
+    fn over_at(&self, id: JobId, job: &Job, now: u64) -> i64 {
+        if !job.awaits.is_empty() || !job.waiting.is_empty() {
+            return i64::MAX;
+        }
+        now.max(job.placed_at + self.run_ms(id).max(0) as u64) as i64
+    }
+
+    /// Does a deadline further on press this job, which waited for others or is waited for?
+    pub fn is_pressed(&self, job: &Job) -> bool {
+        job.due.is_some() && (job.spec.deadline_s.is_none() || job.since != job.born)
+    }
+
     fn run_ms(&self, id: JobId) -> i64 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let spec = &job.spec;
