A busy leader sends workers to report to other controllers

Cause: with 400 machines reports take most of a leader's 4% of a core; after crashes workers and users had all come to the node that was left, answers came late, and leaders lost their leases. Ruled out: placement (0.2 ms a pass), rentals, logs.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -240,6 +240,14 @@
         link.is_none_or(|l| l.view().release != 1)
     }
 
+    /// A peer within reach that doesn't lead, one after the other.
+    pub fn some_peer(&self, now: u64) -> Option<&str> {
+        let well: Vec<&Arc<Link>> =
+            self.links.iter().filter(|l| l.healthy(now) && !l.view().leads).collect();
+        let turn = (now / 40) as usize % well.len().max(1);
+        well.get(turn).map(|l| l.member.as_str())
+    }
+
     /// Is any peer within reach? True where there are none.
     pub fn any_peer(&self, now: u64) -> bool {
         self.links.is_empty() || self.links.iter().any(|l| l.healthy(now))
--- a/src/node.rs
+++ b/src/node.rs
@@ -61,6 +61,42 @@
     pub no_state: Option<u64>,
 }
 
+/// Reports in a second: those at this node's own door, and all that it answers as leader.
+#[derive(Debug, Default)]
+struct Doors {
+    since: u64,
+    now: (u32, u32),
+    last: (u32, u32),
+    sent_away: u64,
+}
+
+impl Doors {
+    fn count(&mut self, own: bool, now: u64) {
+        if now >= self.since + 1000 {
+            self.last = if now < self.since + 2000 { self.now } else { (0, 0) };
+            (self.since, self.now) = (now, (0, 0));
+        }
+        if own {
+            self.now.0 += 1;
+        } else {
+            self.now.1 += 1;
+        }
+    }
+
+    /// Should a worker be sent to another controller? A leader whose processor reports keep busy
+    /// leaves their reception to the others and takes half of an equal share itself.
+    fn sheds(&mut self, nodes: usize, cpu_share: f64, now: u64) -> bool {
+        let (own, all) = self.last;
+        let busy = f64::from(all) * REPORT_COST_S > cpu_share * BUSY;
+        let much = own as usize * nodes * 2 > all as usize;
+        let sheds = busy && much && now >= self.sent_away + SHED_MS;
+        if sheds {
+            self.sent_away = now;
+        }
+        sheds
+    }
+}
+
 pub struct Node {
     pub settings: Arc<Settings>,
     start: Instant,
@@ -78,6 +114,7 @@
     lookups: Mutex<Pace>,
     /// Requests refused for being too many, by what was bounded; for the metrics.
     pub refused: [AtomicU64; 3],
+    doors: Mutex<Doors>,
 }
 
 /// What a submission comes to.
@@ -116,6 +153,11 @@
 const JOB_AS_TASKS: usize = 40;
 /// Waiting jobs that are looked at, without a leader, for one that somebody asks about.
 const WALK: usize = 6;
+/// About what taking in and answering a report costs a controller's processor; beyond this part of
+/// its share a leader leaves their reception to others, one worker at a time.
+const REPORT_COST_S: f64 = 1e-4;
+const BUSY: f64 = 0.2;
+const SHED_MS: u64 = 40;
 /// The answer of a node that neither leads nor reaches a leader.
 const NOT_ENTITLED: u16 = 421;
 
@@ -137,6 +179,7 @@
             questions: Semaphore::new(QUESTIONS),
             lookups: Mutex::new(lookups),
             refused: Default::default(),
+            doors: Mutex::default(),
         }
     }
 
@@ -302,6 +345,9 @@
     /// meanwhile: while nobody leads (all have just started, or the leader was lost), its report
     /// waits for a leader, as long as the worker still waits for the answer.
     async fn report_at_the_door(&self, body: &[u8]) -> Reply {
+        if let Some(foreman) = self.elsewhere() {
+            return Reply::new(421, &std::collections::BTreeMap::from([("foreman", foreman)]));
+        }
         let end = Instant::now() + REPORT_HELD;
         loop {
             let reply = self.serve(Op::Report, body, 2).await;
@@ -312,9 +358,28 @@
         }
     }
 
+    /// Another controller that a worker had better report to.
+    fn elsewhere(&self) -> Option<&str> {
+        if !self.leading(false) {
+            return None;
+        }
+        let now = self.now();
+        let mut doors = self.doors.lock().expect("lock");
+        doors.count(true, now);
+        let share = self.settings.deployment.limits.cpu_share;
+        if doors.sheds(self.cluster.members.len(), share, now) {
+            self.cluster.some_peer(now)
+        } else {
+            None
+        }
+    }
+
     /// Answers as leader, or passes the request on while it may be (`hops`).
     pub async fn serve(&self, op: Op, body: &[u8], hops: u8) -> Reply {
         if self.leading(op == Op::Report) {
+            if op == Op::Report {
+                self.doors.lock().expect("lock").count(false, self.now());
+            }
             return match op {
                 Op::Submit => self.submit(body).await,
                 Op::Show => self.show(body).await,
@@ -787,6 +852,27 @@
         assert!(!node.authority(&state, 10_001) && !node.holding(&state, 10_001));
     }
 
+    #[test]
+    fn a_busy_leader_leaves_the_reception_of_reports_to_others() {
+        // Found on days with four hundred machines: after a crash all workers and users had come to
+        // the only controller that was left, and it lost its lease for want of processor time.
+        // (own door, all reports in a second, sent away)
+        for (own, all, sheds) in
+            [(400, 400, true), (100, 400, true), (66, 400, false), (0, 400, false), (60, 60, false)]
+        {
+            let mut doors = Doors { last: (own, all), ..Doors::default() };
+            assert_eq!(doors.sheds(3, 0.04, 1000), sheds, "{own} {all}");
+            assert!(!doors.sheds(3, 0.04, 1010), "one at a time");
+        }
+        // A second that is long over says nothing.
+        let mut doors = Doors::default();
+        (0..300).for_each(|_| doors.count(true, 1000));
+        doors.count(true, 2000);
+        assert_eq!(doors.last, (300, 0));
+        doors.count(true, 9000);
+        assert_eq!(doors.last, (0, 0));
+    }
+
     #[test]
     fn whoever_workers_or_peers_reach_stands_for_election_first() {
         // Found on an own day: controllers could not reach one another, the leader lost the workers
