--- a/src/cell.rs
+++ b/src/cell.rs
@@ -152,6 +152,8 @@
     pub stir: bool,
     /// When the last placement pass was.
     pub passed: u64,
+    /// How far apart passes are, in milliseconds.
+    pub pass_gap: u64,
 }
 
 const FINALS_KEPT: usize = 3000;
@@ -215,6 +217,7 @@
             next_try: 0,
             stir: true,
             passed: 0,
+            pass_gap: crate::placement::PASS_MS,
         }
     }
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -945,7 +945,7 @@
     let mut pace = Pace::new(node.settings.deployment.cloud.rps, node.now());
     let mut rentals = tokio::task::JoinSet::new();
     let (mut returning, mut listing) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
-    let (mut listed, mut planned) = (0u64, 0u64);
+    let (mut listed, mut planned, mut plan_gap) = (0u64, 0u64, PLAN_MS);
     loop {
         tokio::time::sleep(STEP).await;
         let now = node.now();
@@ -968,7 +968,7 @@
             if !lead || left == 0 {
                 return (vec![], vec![]);
             }
-            if now < planned + PLAN_MS {
+            if now < planned + plan_gap {
                 let back = if idle { c.due_returns() } else { vec![] };
                 let most = left - usize::from(!back.is_empty());
                 return (back, c.due_rentals(now, most));
@@ -984,6 +984,10 @@
             (back, c.due_rentals(now, most))
         });
         let Some((back, rent_now)) = plan else { return };
+        if planned == now {
+            // With much to look at, less often.
+            plan_gap = ((node.now() - now) * 8).clamp(PLAN_MS, 8 * PLAN_MS);
+        }
         node.kick();
         if !back.is_empty() && pace.take() {
             returning.spawn(give_back(node.clone(), term, back));
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -541,7 +541,7 @@
     loop {
         let now = node.now();
         beat += 1;
-        let direct = node.with_cell(term, |c, lead| {
+        let direct = node.with_cell(term, |c, _| {
             c.expire(now);
             c.follow(now);
             if beat.is_multiple_of(5) {
@@ -551,14 +551,14 @@
                 c.spot_slow(now);
                 c.judge(now);
             }
-            if lead && c.pass_pause(now) == Some(0) {
-                c.place(now);
-            }
             // With no machines there is nobody to be heard.
             let report = c.machines.values().map(|m| m.heard).max().unwrap_or(now);
             (std::mem::take(&mut c.direct), report, c.machines.len())
         });
-        let Some((direct, report, machines)) = direct else { return "superseded" };
+        let Some((mut direct, report, machines)) = direct else { return "superseded" };
+        node.place(term);
+        direct
+            .extend(node.with_cell(term, |c, _| std::mem::take(&mut c.direct)).unwrap_or_default());
         let alone = alone_ms(report_ms);
         heard = heard.max(report);
         if (now > heard + alone) != deaf {
--- a/src/node.rs
+++ b/src/node.rs
@@ -797,12 +797,7 @@
         if let Some(pause) = pause {
             tokio::time::sleep(Duration::from_millis(pause)).await;
         }
-        let now = self.now();
-        self.with_cell(term, |c, lead| {
-            if lead && c.pass_pause(now) == Some(0) {
-                c.place(now);
-            }
-        });
+        self.place(term);
         let ready = |c: &mut Cell, lead: bool| (!lead || c.orders_ready(mid)).then_some(());
         self.until(term, REPORT_LIMIT, ready).await;
         if !self.leading(true) {
@@ -816,6 +811,22 @@
         }
     }
 
+    /// A placement pass, if one is due.
+    pub fn place(&self, term: u64) {
+        let begin = self.now();
+        let placed = self.with_cell(term, |c, lead| {
+            let due = lead && c.pass_pause(begin) == Some(0);
+            if due {
+                c.place(begin);
+            }
+            due
+        });
+        if placed == Some(true) {
+            let took = self.now() - begin;
+            self.with_cell(term, |c, _| c.pass_took(took));
+        }
+    }
+
     /// Names and machine types for a new leader's cell.
     pub fn known_flavors(&self) -> Option<(Names, Vec<Flavor>)> {
         let state = self.state.lock().expect("lock");
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -75,7 +75,8 @@
 
 pub const RESERVE_MS: u64 = 30_000;
 /// Passes are at least this far apart.
-const PASS_MS: u64 = 50;
+pub const PASS_MS: u64 = 50;
+const MOST_PASS_MS: u64 = 1000;
 /// A job that found nobody to stop looks again after this long.
 const LOOK_MS: u64 = 1000;
 
@@ -206,7 +207,13 @@
 
     /// How long until the next pass is due, if there is anything to place.
     pub fn pass_pause(&self, now: u64) -> Option<u64> {
-        self.stir.then(|| (self.passed + PASS_MS).saturating_sub(now))
+        self.stir.then(|| (self.passed + self.pass_gap).saturating_sub(now))
+    }
+
+    /// A pass took so long: with much that waits, or little processor, passes are further apart, so
+    /// that they never take more than a quarter of the time.
+    pub fn pass_took(&mut self, ms: u64) {
+        self.pass_gap = (ms * 4).clamp(PASS_MS, MOST_PASS_MS);
     }
 
     /// One pass: every waiting task that can be placed is put on a machine's list.
@@ -865,6 +872,12 @@
         for (now, pause) in [(1000, PASS_MS), (1000 + PASS_MS - 1, 1), (1000 + PASS_MS, 0)] {
             assert_eq!(c.pass_pause(now), Some(pause), "{now}");
         }
+        // Found on an own day of four times as many pipelines: passes over hundreds of waiting jobs
+        // left no time to renew the leader's lease.
+        for (took, gap) in [(0, 50), (12, 50), (40, 160), (5000, 1000)] {
+            c.pass_took(took);
+            assert_eq!(c.pass_pause(1000), Some(gap), "{took}");
+        }
     }
 
     #[test]
