Records are written at 0.95 of the limit

Cause: at 42 changes a second tasks wait for their machines' records in bursts, on small machines a record for two tasks.

--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -445,7 +445,7 @@
     let mut caution = Caution::new(limits.txn_ops());
     loop {
         let now = node.now();
-        let rate = limits.write_rps() * 0.8 * caution.pace;
+        let rate = limits.write_rps() * 0.95 * caution.pace;
         tokens = (tokens + rate * (now - at) as f64 / 1000.0).min(most);
         at = now;
         if tokens < 2.0 {
