--- a/src/node.rs
+++ b/src/node.rs
@@ -577,10 +577,11 @@
                 berths.dedup();
                 berths.retain(|b| c.flavors.iter().any(|f| f.label == *b));
             }
+            // Kept apart from the rest, however long the list is.
+            let awaits = job.awaits.take().unwrap_or_default();
             if c.empty_record_bytes(&job) + 64 > c.value_limit {
                 return Err(Reply::error(400, "malformed: names too long to be recorded"));
             }
-            let awaits = job.awaits.take().unwrap_or_default();
             let (open, dead) = match c.look_at_awaits(&awaits, read) {
                 Awaits::Open(open) => (open, false),
                 Awaits::Cancelled => (vec![], true),
@@ -863,6 +864,43 @@
         assert!(!node.authority(&state, 10_001) && !node.holding(&state, 10_001));
     }
 
+    #[test]
+    fn long_lists_of_jobs_to_wait_for_are_taken_in() {
+        // Found when tried by hand: a list of 300 jobs was refused as too long to be recorded, since
+        // it was counted as part of the job's own record.
+        let node = Node::new(crate::settings::tests::sample());
+        let mut cell = crate::safety_tests::cell();
+        cell.value_limit = 2048;
+        let term = cell.term;
+        let uids: Vec<String> = (2000..3000).map(|n| format!("wk-{n}")).collect();
+        for uid in &uids {
+            let id = crate::safety_tests::add_job(&mut cell, uid, |b| b.parcels = 1);
+            cell.applied_for_test(id);
+        }
+        let renewed = node.now();
+        *node.state.lock().expect("lock") = State { cell: Some(cell), renewed, ..State::default() };
+        let body = |n: usize, awaits: &[String]| jobs::JobBody {
+            awaits: Some(awaits.to_vec()),
+            ..jobs::tests::body(&format!("wk-{n}"))
+        };
+        for n in [0, 1, 300, 1000] {
+            let body = encode(&body(n + 1, &uids[..n]));
+            let taken = node.take_in(term, &body, &HashMap::new());
+            assert!(matches!(taken, Some(Taking::In(_))), "{n}");
+        }
+        // One that nobody knows has to be looked up first, and is refused only then.
+        let strange = encode(&body(7, &["wk-7777".into()]));
+        assert!(matches!(node.take_in(term, &strange, &HashMap::new()), Some(Taking::Ask(..))));
+        let read = HashMap::from([("wk-7777".to_string(), Named::Never)]);
+        let taken = node.take_in(term, &strange, &read);
+        assert!(matches!(taken, Some(Taking::Refused(r)) if r.status == 422));
+        let mut named = body(8, &[]);
+        // What doesn't fit as it is measured is refused, and never waits to be written.
+        (named.lot, named.cargo) = ("\u{1}".repeat(200), "\u{1}".repeat(200));
+        let taken = node.take_in(term, &encode(&named), &HashMap::new());
+        assert!(matches!(taken, Some(Taking::Refused(r)) if r.status == 400));
+    }
+
     #[test]
     fn a_busy_leader_leaves_the_reception_of_reports_to_others() {
         // Found on days with four hundred machines: after a crash all workers and users had come to
