Machines for jobs that are soon ready are rented half a boot ahead

Cause: readiness was foreseen by mean run times, and arrays end with their longest task, so machines stood idle.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -400,7 +400,7 @@
         let mut used: Vec<[Usage; 4]> = self.split.iter().map(split).collect();
         // Then those that are ready by the time a machine rented now is up.
         let soon: Vec<Ranked> = self
-            .soon_ready(boot, now)
+            .soon_ready(boot * 0.5, now)
             .into_iter()
             .map(|id| Ranked { id, guaranteed: false })
             .collect();
