A tenth of a second of changes is left to users' answers, the others go four at a time

Cause: in bursts machines' records use up the pace, and a submission waits for its turn. Ruled out: the leader's processor, the hop between controllers.

--- a/src/cell.rs
+++ b/src/cell.rs
@@ -733,6 +733,16 @@
 
     /// The next transaction: at most `ops` changes and 48 KiB, the most urgent keys first.
     pub fn batch(&mut self, ops: usize) -> Option<Batch> {
+        self.batch_with_reserve(ops, 0)
+    }
+
+    /// Is anything to be recorded that users wait for?
+    pub fn users_wait(&self) -> bool {
+        self.dirty.keys().any(|k| k.urgency() == 0)
+    }
+
+    /// The same, with so many of the changes left to what users wait for.
+    pub fn batch_with_reserve(&mut self, ops: usize, reserve: usize) -> Option<Batch> {
         let mut batch =
             Batch { ver: self.ver, keys: vec![], when: vec![self.leader.clone()], apply: vec![] };
         let mut size = 0;
@@ -764,7 +774,8 @@
             }
             let bytes: usize =
                 changes.iter().map(|c| c.bytes() + 3 * c.path().len() + 96).sum::<usize>();
-            if batch.apply.len() + changes.len() > ops || size + bytes > 48 << 10 {
+            let most = if key.urgency() == 0 { ops } else { ops.saturating_sub(reserve) };
+            if batch.apply.len() + changes.len() > most || size + bytes > 48 << 10 {
                 break;
             }
             size += bytes;
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -436,6 +436,9 @@
     }
 }
 
+/// Changes that are left to users' answers: so many seconds' worth.
+const RESERVE_S: f64 = 0.1;
+
 /// Group commit: one transaction at a time, one put for each dirty key, paced below the state
 /// service's limit. Ends when the leader key is another's.
 async fn commits(node: &Node, term: u64) -> &'static str {
@@ -452,9 +455,25 @@
             sleep(ms(20)).await;
             continue;
         }
+        // What users wait for finds changes left when others have used up the rest.
+        let reserve = (limits.write_rps() * RESERVE_S) as usize;
+        let spare = (tokens as usize).saturating_sub(reserve);
         let ops = (tokens as usize).min(caution.ops);
-        let Some(batch) = node.with_cell(term, |c, _| c.batch(ops)) else { return "superseded" };
+        // The others go several at a time: transactions cost processor time.
+        let users = node.with_cell(term, |c, _| c.users_wait());
+        if users == Some(false) && spare < 4 {
+            sleep(ms(20)).await;
+            continue;
+        }
+        let reserve = ops.saturating_sub(spare);
+        let batch = node.with_cell(term, |c, _| c.batch_with_reserve(ops, reserve));
+        let Some(batch) = batch else { return "superseded" };
         let Some(batch) = batch else {
+            let more = node.with_cell(term, |c, _| c.dirty.len() > c.held_back.len());
+            if more == Some(true) {
+                sleep(ms(20)).await;
+                continue;
+            }
             node.dirty.notified().await;
             // What else the same moment changes comes along.
             sleep(ms(3)).await;
--- a/src/safety_tests.rs
+++ b/src/safety_tests.rs
@@ -756,6 +756,18 @@
     assert!(batch.when.contains(&Cond { path: "f/wk-1".into(), stamp: 40 }));
 }
 
+#[test]
+fn users_find_changes_left_when_machines_have_used_up_the_rest() {
+    // Found on days with lowered limits: in bursts a submission waited for its turn after machines.
+    let (mut c, _, mid, _) = started();
+    c.touch(Key::Machine(mid));
+    assert!(c.batch_with_reserve(4, 4).is_none(), "the rest is used up");
+    add_job(&mut c, "wk-2", |_| ());
+    let batch = c.batch_with_reserve(4, 4).expect("the user's record");
+    assert_eq!(batch.apply.iter().map(|x| x.path()).collect::<Vec<_>>(), ["j/wk-2"]);
+    assert_eq!(c.batch_with_reserve(4, 2).expect("both").apply.len(), 2);
+}
+
 #[test]
 fn no_record_is_passed_over_for_ever_and_nobody_waits_for_finished_ranges() {
     // Found on a grown day: at the state service's limit machines with low numbers were written
