--- a/src/pipelines.rs
+++ b/src/pipelines.rs
@@ -840,6 +840,45 @@
         assert!(c.admit_after(&spec, 500.0, T0).is_ok());
     }
 
+    #[test]
+    fn machines_are_made_ready_for_what_is_soon_ready() {
+        // Found on days with pipelines: machines that stood idle went back just before the arrays for
+        // hundreds of CPUs became ready, and new ones boot for 20 s.
+        for waits in [true, false] {
+            let mut c = cell();
+            c.fleet.provided = Some(0);
+            add_job(&mut c, "wk-1", |b| (b.parcels, b.cpus, b.expected_s) = (1, 4.0, 30.0));
+            commit(&mut c);
+            if waits {
+                // More than fits on the machine that is there.
+                add_waiting(&mut c, "wk-2", &["wk-1"], |b| b.parcels = 12);
+                commit(&mut c);
+            }
+            let from = |n: usize, tally| {
+                let mut r = report(1, tally, 7, &[]);
+                r.hearth = format!("n-{n}");
+                r
+            };
+            exchange(&mut c, &from(1, 1), T0);
+            exchange(&mut c, &from(2, 1), T0);
+            let on: Vec<usize> = c.machines.values().map(|m| m.entries.len()).collect();
+            assert_eq!(on.iter().sum::<usize>(), 1, "what waits has no place");
+            // (after so many seconds, is it soon ready, is the idle machine given back?)
+            for (after, soon) in [(15, false), (25, true)] {
+                let now = T0 + after * 1000;
+                for n in [1, 2] {
+                    c.on_report(&from(n, 1 + after), now);
+                }
+                assert_eq!(c.soon_ready(10.0, now).len(), usize::from(soon && waits), "{after}");
+                assert_eq!(!c.demand(now).is_empty(), soon && waits, "{after}");
+            }
+            let now = T0 + 25_000;
+            c.plan_rentals(now);
+            c.plan_returns(now);
+            assert_eq!(c.due_returns().len(), usize::from(!waits));
+        }
+    }
+
     #[test]
     fn a_record_that_waits_keeps_what_it_will_use() {
         let mut store = BTreeMap::new();
