--- a/src/client.rs
+++ b/crates/controller/src/client.rs
@@ -1,7 +1,7 @@
 //! The command that shows a user what a job does and why it waits.
 
 use crate::http::Client;
-use crate::jobs::{Shown, valid_uid};
+use copperhaven_wire::jobs::{Shown, valid_uid};
 use hyper::Method;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -88,7 +88,7 @@
         );
         s.why = Some("waits for other jobs to be done".into());
         (s.awaits, s.awaits_count) = (vec!["wk-2".into(), "wk-3".into()], 5);
-        s.held_by = Some(crate::jobs::HeldBy {
+        s.held_by = Some(copperhaven_wire::jobs::HeldBy {
             uid: "wk-7".into(),
             lot: "render".into(),
             status: "running".into(),
--- a/src/cluster.rs
+++ b/crates/controller/src/cluster.rs
@@ -174,7 +174,7 @@
 }
 
 impl Cluster {
-    pub fn new(settings: &crate::settings::Settings) -> Cluster {
+    pub fn new(settings: &copperhaven_core::settings::Settings) -> Cluster {
         let mut members: Vec<String> = settings.members.iter().map(|m| m.member.clone()).collect();
         members.push(settings.member.clone());
         members.sort();
@@ -439,7 +439,7 @@
         // It refuses other versions of the layout, and reads of a pong the term, who leads and
         // who is reached; the release lies where it writes and reads nothing.
         let fixture = |name: &str| -> Vec<u8> {
-            let text = include_str!("../tests/fixtures/production.txt");
+            let text = include_str!("../../core/tests/fixtures/production.txt");
             let line = text.lines().find_map(|l| l.strip_prefix(name)).expect(name).trim();
             let byte = |i| u8::from_str_radix(&line[i..i + 2], 16).expect("hex");
             (0..line.len()).step_by(2).map(byte).collect()
--- a/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::cluster::Op;
 use crate::node::{Node, Reply};
+use copperhaven_wire::limits::MOST_BODY;
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use poem::web::{Data, LocalAddr, Path, RemoteAddr};
@@ -13,7 +14,6 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-const MOST_BODY: usize = 64 << 10;
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 const IDLE_LIMIT: Duration = Duration::from_secs(120);
 
--- a/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -2,6 +2,7 @@
 //! time limit on every call, and a bound on what an answer may hold.
 
 use bytes::Bytes;
+use copperhaven_wire::encode;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::{Method, Request};
@@ -42,11 +43,6 @@
     }
 }
 
-/// The body of `value` as MessagePack, maps keyed by text.
-pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    rmp_serde::to_vec_named(value).unwrap_or_default()
-}
-
 type Conn = SendRequest<Full<Bytes>>;
 const IDLE: Duration = Duration::from_secs(20);
 const MOST: usize = 16 << 20;
--- a/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -1,21 +1,19 @@
 //! Leadership: the term, the leader's lease, taking over, and the leader's loops.
 
-use crate::cell::{Cell, Key};
-use crate::fleet;
-use crate::jobs::{CHUNK, Wait, admit_shape};
+use crate::cloud;
 use crate::node::Node;
-use crate::store::*;
-use crate::workers::{Direct, Entry, Orders};
+use crate::store::{Outcome, StoreError};
+use copperhaven_core::caution::Caution;
+use copperhaven_core::cell::Cell;
+use copperhaven_core::records::*;
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_core::workers::Direct;
+use copperhaven_wire::workers::{Orders, Report};
 use serde::de::IgnoredAny;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
 
-pub const LEADER: &str = "c/leader";
-pub const TERM: &str = "c/term";
-const FLAVORS: &str = "c/flavors";
-
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
@@ -173,7 +171,7 @@
         why = commits(node, term) => why,
         why = read_ends(node, term) => why,
         why = ticks(node, term) => why,
-        _ = fleet::run(node.clone(), term) => "superseded",
+        _ = cloud::run(node.clone(), term) => "superseded",
     }
 }
 
@@ -231,13 +229,13 @@
     let machines = node.store.list::<MachineRecord>("m/").await?;
     let rentals = node.store.list::<RentalRecord>("r/").await?;
     let links = node.store.list::<LinksRecord>("a/").await?;
-    let provided = node.store.get::<ProvidedRecord>(fleet::PROVIDED).await?;
+    let provided = node.store.get::<ProvidedRecord>(PROVIDED).await?;
     let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
     let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
     let read = Records { jobs, done, machines, rentals, links };
-    rebuild(&mut cell, read, now);
+    rebuild(&mut cell, read, now, Node::wall_ms());
     cell.fleet.provided = provided.map(|(p, _)| p.machines);
     let (j, m) = (cell.jobs.len(), cell.machines.len());
     tracing::info!("term {term} has {j} open jobs and {m} machines on record");
@@ -245,197 +243,6 @@
     Ok(())
 }
 
-type Rows<T> = Vec<(String, T, u64)>;
-
-/// All records that a new leader reads: path, value, version.
-#[derive(Default)]
-pub struct Records {
-    pub jobs: Rows<JobRecord>,
-    pub done: Rows<DoneRecord>,
-    pub machines: Rows<MachineRecord>,
-    pub rentals: Rows<RentalRecord>,
-    pub links: Rows<LinksRecord>,
-}
-
-pub fn rebuild(cell: &mut Cell, read: Records, now: u64) {
-    let Records { jobs, done, machines, rentals, links } = read;
-    let mut more: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    for (path, record, stamp) in links {
-        cell.stamps.insert(path.clone(), stamp);
-        let uid = path.split('/').nth(1).unwrap_or_default();
-        more.entry(uid.into()).or_default().extend(record.on);
-    }
-    let mut parked = vec![];
-    for (path, mut record, stamp) in jobs {
-        cell.stamps.insert(path, stamp);
-        let waits = record.waits.take();
-        if let Some(waits) = &waits {
-            record.job.berths.clone_from(&waits.berths);
-        }
-        let settings = cell.settings.clone();
-        let flavors = std::mem::take(&mut cell.flavors);
-        let spec = admit_shape(&record.job, &mut cell.names, &flavors, &settings);
-        cell.flavors = flavors;
-        let spec = match spec {
-            Ok(spec) => spec,
-            Err(e) => {
-                tracing::error!("job {} was accepted under other settings: {e}", record.job.uid);
-                continue;
-            }
-        };
-        let age = Node::wall_ms().saturating_sub(record.at);
-        let born = now as i64 - i64::try_from(age).unwrap_or(0);
-        let id = cell.insert_job(spec, record.job, record.at, born);
-        let at = record.at;
-        if let Some(job) = cell.jobs.get_mut(&id) {
-            job.wait = Wait::Nothing;
-            if record.cancelled {
-                job.cancel_ver = Some(0);
-                job.waiting.clear();
-                cell.order.remove(&(at, id));
-            } else if let Some(since) = record.since {
-                // It has waited for others.
-                let age = Node::wall_ms().saturating_sub(since);
-                job.since = now as i64 - i64::try_from(age).unwrap_or(0);
-                job.turn_at = since;
-                cell.order.remove(&(at, id));
-                cell.order.insert((since, id));
-            }
-        }
-        cell.mark_saved(Key::Job(id));
-        if let Some(waits) = waits.filter(|_| !record.cancelled) {
-            parked.push((id, waits));
-        }
-    }
-    for (id, waits) in parked {
-        let Some(job) = cell.jobs.get_mut(&id) else { continue };
-        job.parts = waits.parts;
-        let on = waits.on.into_iter().chain(more.remove(&*job.spec.uid).unwrap_or_default());
-        let on = on.map(Into::into).collect();
-        cell.park(id, on, now);
-    }
-    // Left over from submissions that were never accepted, or of jobs that wait no more.
-    let unused = |path: &&String| {
-        let uid = path.strip_prefix("a/").and_then(|p| p.split('/').next());
-        uid.is_some_and(|uid| cell.job(uid).is_none_or(|(_, j)| j.parts == 0))
-    };
-    let unused: Vec<String> = cell.stamps.keys().filter(unused).cloned().collect();
-    for path in unused {
-        cell.touch(Key::Drop(path));
-    }
-    for (path, record, stamp) in done {
-        let mut parts = path.split('/').skip(1);
-        let id = parts.next().and_then(|uid| cell.by_uid.get(uid).copied());
-        let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
-        cell.stamps.insert(path.clone(), stamp);
-        let (Some(id), Some(chunk)) = (id, chunk) else {
-            // Left over from a job that is final.
-            cell.touch(Key::Drop(path));
-            continue;
-        };
-        if let Some(job) = cell.jobs.get_mut(&id) {
-            let from = chunk.saturating_mul(CHUNK);
-            for task in from_ranges(&record.r) {
-                if task >= from && task - from < CHUNK && task < job.spec.tasks {
-                    job.done.insert(task);
-                    job.waiting.remove(&task);
-                }
-            }
-        }
-    }
-    for (path, r, stamp) in machines {
-        cell.stamps.insert(path.clone(), stamp);
-        let (Some(kind), Some(zone)) =
-            (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
-        else {
-            tracing::error!("machine record {path} names an unknown type or zone");
-            continue;
-        };
-        let name = path.trim_start_matches("m/").to_string();
-        let mid = cell.add_machine(&name, &r.addr, kind, zone, r.spot, now);
-        for on in &r.on {
-            // A job that is not open is final: what is done has exited, and a cancelled job only
-            // becomes final once none of its tasks can be on a machine.
-            let Some(id) = cell.by_uid.get(on.j.as_str()).copied() else { continue };
-            for task in from_ranges(&on.r) {
-                let job = &cell.jobs[&id];
-                if task < job.spec.tasks && !job.done.contains(&task) {
-                    let mut e = Entry::new(on.t, 0, now);
-                    e.inherited = true;
-                    cell.attach(mid, id, task, e);
-                    if let Some(job) = cell.jobs.get_mut(&id) {
-                        job.attempt = job.attempt.max(on.t);
-                    }
-                }
-            }
-        }
-        // Fences the old leader: a worker that has seen this term drops its responses.
-        cell.direct.push(Direct { addr: r.addr, shift: r.shift, orders: vec![] });
-    }
-    for (path, r, stamp) in rentals {
-        cell.stamps.insert(path.clone(), stamp);
-        let what = cell.names.types.get(&r.berth).zip(cell.names.zones.get(&r.yard));
-        if let Some((kind, zone)) = what {
-            let name = path.trim_start_matches("r/");
-            cell.fleet.inherit(name, (kind, zone, r.spot), r.number.clamp(1, 50));
-        }
-    }
-    let ids: Vec<_> = cell.jobs.keys().copied().collect();
-    for id in ids {
-        let Some(job) = cell.jobs.get(&id) else { continue };
-        if job.cancelled() {
-            cell.stop_all(id, now, 0.0);
-        } else if job.awaits.is_empty()
-            && let Ok(routed) = cell.admit(&job.spec.clone(), now)
-            && let Some(job) = cell.jobs.get_mut(&id)
-        {
-            job.routed = routed;
-        }
-        cell.settle(id);
-    }
-    cell.follow(now);
-}
-
-/// What refused transactions teach: the state service may take less than the settings say.
-#[derive(Debug)]
-struct Caution {
-    /// Changes to a transaction at most.
-    ops: usize,
-    /// So many more transactions hold one record each: one of them was refused with others.
-    alone: usize,
-    /// How many changes that transaction had, and whether one of its records was refused alone.
-    suspect: (usize, bool),
-    /// Part of the usual pace.
-    pace: f64,
-}
-
-impl Caution {
-    fn new(ops: usize) -> Caution {
-        Caution { ops, alone: 0, suspect: (0, false), pace: 1.0 }
-    }
-
-    fn malformed(&mut self, batch: &crate::cell::Batch, sole: bool) {
-        if sole {
-            self.suspect.1 = true;
-            self.alone = self.alone.saturating_sub(1);
-        } else {
-            (self.alone, self.suspect) = (batch.keys.len(), (batch.apply.len(), false));
-        }
-    }
-
-    fn applied(&mut self) {
-        self.pace = (self.pace * 1.02).min(1.0);
-        if self.alone > 0 {
-            self.alone -= 1;
-            if self.alone == 0 && !self.suspect.1 {
-                // Each is taken alone: together they were too many for a transaction.
-                self.ops = (self.suspect.0 / 2).max(4).min(self.ops);
-                tracing::warn!("transactions hold {} changes at most from now on", self.ops);
-            }
-        }
-    }
-}
-
 /// Changes that are left to users' answers: so many seconds' worth.
 const RESERVE_S: f64 = 0.1;
 
@@ -623,7 +430,7 @@
         let body = Body { shift, orders: &orders };
         let answer = node.workers.post(&d.addr, "/commands", &body, ms(2000)).await;
         let Ok(answer) = answer else { return };
-        match (answer.status, answer.decode::<crate::workers::Report>()) {
+        match (answer.status, answer.decode::<Report>()) {
             (409, Some(r)) if r.warrant > term => return node.heard_term(r.warrant, None),
             (409, Some(r)) if r.shift != shift => shift = r.shift,
             _ => return,
--- /dev/null
+++ b/crates/controller/src/lib.rs
@@ -0,0 +1,13 @@
+//! copperhaven's controller: one leads, admits, routes and runs jobs on rented machines; the others
+//! answer for it and take over. What it decides is in `copperhaven-core`; here it meets sockets,
+//! clocks and the state service.
+
+pub mod client;
+pub mod cloud;
+pub mod cluster;
+pub mod front;
+pub mod http;
+pub mod leadership;
+pub mod metrics;
+pub mod node;
+pub mod store;
--- a/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,7 +1,8 @@
 //! Reads the settings and wires the parts together.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use copperhaven::{client, cluster, front, leadership, node::Node, settings};
+use copperhaven::{client, cluster, front, leadership, node::Node};
+use copperhaven_core::settings;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
--- a/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Figures for those who watch the service, in the OpenMetrics text format, on `cluster_listen`.
 //! They are gathered when asked for, so that nobody pays for them in between.
 
-use crate::admission::nu;
-use crate::names::TypeId;
 use crate::node::Node;
+use copperhaven_core::admission::{ln_meet, nu};
+use copperhaven_core::jobs::Job;
+use copperhaven_core::names::TypeId;
+use copperhaven_core::workers::Machine;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -113,14 +115,14 @@
             for (k, flavor) in c.flavors.iter().enumerate() {
                 let pool = z * c.flavors.len() + k;
                 let labels = vec![("zone", zone.to_string()), ("type", flavor.label.clone())];
-                let routed = |j: &crate::jobs::Job| j.routed.get(pool).copied().unwrap_or(0);
+                let routed = |j: &Job| j.routed.get(pool).copied().unwrap_or(0);
                 let x: u32 = c.jobs.values().map(routed).sum();
-                let here = |m: &&crate::workers::Machine| {
+                let here = |m: &&Machine| {
                     m.zone.ix() == z && m.kind == TypeId::from(k) && m.usable(now, silence)
                 };
                 let m = c.machines.values().filter(here).count() as f64 * flavor.cpus;
                 waiting.get_or_create(&labels).set(f64::from(x));
-                let value = crate::admission::ln_meet(m, f64::from(x), 1.0 / 60.0, 1.0 / span);
+                let value = ln_meet(m, f64::from(x), 1.0 / 60.0, 1.0 / span);
                 index.get_or_create(&labels).set(nu(value));
             }
         }
--- a/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -1,14 +1,22 @@
 //! One controller: what it shares between its parts, and how it answers, as leader or for it.
 
-use crate::cell::{Cell, Names, shown_final};
+use crate::cloud::Cloud;
 use crate::cluster::{Cluster, Op, PeerView};
-use crate::fleet::{Cloud, Flavor, Pace, WireFlavor};
-use crate::http::{Client, encode};
-use crate::jobs::{self, Refusal, Shown};
-use crate::pipelines::{Awaits, Named};
-use crate::settings::Settings;
-use crate::store::{FinalRecord, JobRecord, Store, StoreError};
-use crate::workers::{Report, Taken};
+use crate::http::Client;
+use crate::store::{Store, StoreError};
+use copperhaven_core::cell::{Cell, shown_final};
+use copperhaven_core::fleet::Flavor;
+use copperhaven_core::jobs::admit_shape;
+use copperhaven_core::names::Names;
+use copperhaven_core::pace::Pace;
+use copperhaven_core::pipelines::{Awaits, Named};
+use copperhaven_core::records::{FinalRecord, JobRecord};
+use copperhaven_core::settings::{Member, Settings};
+use copperhaven_core::workers::Taken;
+use copperhaven_wire::cloud::WireFlavor;
+use copperhaven_wire::encode;
+use copperhaven_wire::jobs::{self, Shown};
+use copperhaven_wire::workers::Report;
 use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -298,7 +306,7 @@
 
     /// Zones of the controllers that are within reach, this one's included.
     pub fn reached_zones(&self, now: u64) -> Vec<&str> {
-        let up = |m: &&crate::settings::Member| self.cluster.links_to(&m.member, now);
+        let up = |m: &&Member| self.cluster.links_to(&m.member, now);
         let others = self.settings.members.iter().filter(up).map(|m| m.zone.as_str());
         others.chain([self.settings.zone.as_str()]).collect()
     }
@@ -552,17 +560,13 @@
             }
             let settings = c.settings.clone();
             let flavors = std::mem::take(&mut c.flavors);
-            let spec = jobs::admit_shape(&job, &mut c.names, &flavors, &settings);
+            let spec = admit_shape(&job, &mut c.names, &flavors, &settings);
             c.flavors = flavors;
             let spec = match spec {
                 Ok(spec) => spec,
-                Err(e @ Refusal::Never(_)) => {
-                    tracing::info!("refuse {uid}: {e}");
-                    return Err(Reply::error(422, &e.to_string()));
-                }
                 Err(e) => {
                     tracing::info!("refuse {uid}: {e}");
-                    return Err(Reply::error(400, &e.to_string()));
+                    return Err(Reply::error(422, &e.to_string()));
                 }
             };
             let tasks: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
@@ -844,8 +848,8 @@
 
     #[test]
     fn a_leader_counts_its_lease_from_the_send_of_the_last_good_renewal() {
-        let node = Node::new(crate::settings::tests::sample());
-        let cell = crate::safety_tests::cell();
+        let node = Node::new(copperhaven_core::for_tests::sample());
+        let cell = copperhaven_core::for_tests::cell();
         let term = cell.term;
         let mut state = State { cell: Some(cell), renewed: 10_000, ..State::default() };
         let ttl = node.settings.tuning.leader_lease_ms;
@@ -868,20 +872,20 @@
     fn long_lists_of_jobs_to_wait_for_are_taken_in() {
         // Found when tried by hand: a list of 300 jobs was refused as too long to be recorded, since
         // it was counted as part of the job's own record.
-        let node = Node::new(crate::settings::tests::sample());
-        let mut cell = crate::safety_tests::cell();
+        let node = Node::new(copperhaven_core::for_tests::sample());
+        let mut cell = copperhaven_core::for_tests::cell();
         cell.value_limit = 2048;
         let term = cell.term;
         let uids: Vec<String> = (2000..3000).map(|n| format!("wk-{n}")).collect();
         for uid in &uids {
-            let id = crate::safety_tests::add_job(&mut cell, uid, |b| b.parcels = 1);
+            let id = copperhaven_core::for_tests::add_job(&mut cell, uid, |b| b.parcels = 1);
             cell.applied_for_test(id);
         }
         let renewed = node.now();
         *node.state.lock().expect("lock") = State { cell: Some(cell), renewed, ..State::default() };
         let body = |n: usize, awaits: &[String]| jobs::JobBody {
             awaits: Some(awaits.to_vec()),
-            ..jobs::tests::body(&format!("wk-{n}"))
+            ..copperhaven_core::for_tests::body(&format!("wk-{n}"))
         };
         for n in [0, 1, 300, 1000] {
             let body = encode(&body(n + 1, &uids[..n]));
@@ -926,7 +930,7 @@
     fn whoever_workers_or_peers_reach_stands_for_election_first() {
         // Found on an own day: controllers could not reach one another, the leader lost the workers
         // and gave way, and won the next five elections, since all had as little of peers.
-        let node = Node::new(crate::settings::tests::sample());
+        let node = Node::new(copperhaven_core::for_tests::sample());
         let cases = [(0, 4_000, true), (0, 6_000, false), (9_000, 9_500, true)];
         for (worker, now, of_use) in cases.into_iter().chain([(9_000, 11_500, false)]) {
             node.state.lock().expect("lock").worker = worker;
@@ -938,7 +942,7 @@
     fn questions_neither_use_up_the_state_service_nor_crowd_out_submissions() {
         // Found on an own day of sixty times as many questions: while nobody led each cost two
         // look-ups, the state service refused all others too, and the next leader came 5 s later.
-        let node = Node::new(crate::settings::tests::sample());
+        let node = Node::new(copperhaven_core::for_tests::sample());
         // 250 requests a second, 0.3 of them for look-ups, two controllers; a burst of a second.
         let burst = (0..100).filter(|_| node.may_look_up(2)).count();
         assert_eq!(burst, 18);
@@ -960,7 +964,7 @@
     fn a_node_without_a_way_to_the_leader_soon_sends_its_users_elsewhere() {
         // Found on grown days: while controllers could not reach one another, two of three kept
         // their users for six seconds and more, and turned each request away.
-        let node = Node::new(crate::settings::tests::sample());
+        let node = Node::new(copperhaven_core::for_tests::sample());
         assert!(!node.up_at(5_000), "never reached a leader");
         let other = 1 - node.cluster.me;
         {
--- a/src/cell.rs
+++ b/crates/core/src/cell.rs
@@ -6,35 +6,12 @@
 use crate::jobs::*;
 use crate::names::*;
 use crate::pipelines::Links;
+use crate::records::*;
 use crate::settings::Settings;
-use crate::store::*;
 use crate::workers::{Direct, Entry, Machine, Seen};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 
-/// Every name that the service has met.
-#[derive(Debug, Default)]
-pub struct Names {
-    pub teams: Interner<TeamId>,
-    pub zones: Interner<ZoneId>,
-    pub types: Interner<TypeId>,
-    pub classes: Interner<ClassId>,
-    pub images: Interner<ImageId>,
-}
-
-impl Names {
-    pub fn new(settings: &Settings) -> Names {
-        let mut names = Names::default();
-        for t in &settings.deployment.teams {
-            names.teams.intern(&t.name);
-        }
-        for z in &settings.deployment.zones {
-            names.zones.intern(z);
-        }
-        names
-    }
-}
-
 /// A key with something to record, in the order in which records are written: what users wait
 /// for first, what nobody waits for last.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -997,14 +974,14 @@
     }
 
     /// Takes a job for recorded as it is; for tests.
-    #[cfg(test)]
+    #[cfg(any(test, feature = "testing"))]
     pub fn applied_for_test(&mut self, id: JobId) {
         self.dirty.remove(&Key::Job(id));
         self.mark_saved(Key::Job(id));
     }
 
     /// Every list that must agree does; for tests.
-    #[cfg(test)]
+    #[cfg(any(test, feature = "testing"))]
     pub fn check(&self) {
         for (t, team) in self.settings.deployment.teams.iter().enumerate() {
             let used: f64 = self
--- a/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,18 +1,13 @@
-//! The fleet: what to rent for the work that waits, what to give back, and the cloud's protocol.
+//! The fleet: what to rent for the work that waits, and what to give back.
 
-use crate::cell::{Cell, Key, Names, Split, Usage};
-use crate::http::{CallError, Client};
+use crate::cell::{Cell, Key, Split, Usage};
 use crate::jobs::{EPS, Shape, Spec};
-use crate::leadership::LEADER;
 use crate::names::*;
-use crate::node::Node;
 use crate::placement::{Ranked, Slot};
-use crate::store::{Change, Cond, Outcome, ProvidedRecord, Record, RentalRecord};
+use crate::records::RentalRecord;
 use crate::workers::Seen;
-use serde::{Deserialize, Serialize};
+pub use copperhaven_wire::cloud::{Host, WireFlavor};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::sync::Arc;
-use std::time::Duration;
 
 #[derive(Debug, Clone)]
 pub struct Flavor {
@@ -28,25 +23,6 @@
     pub zones: Vec<ZoneId>,
 }
 
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct WireFlavor {
-    label: String,
-    cpus: f64,
-    #[serde(default)]
-    cards: f64,
-    mem_gb: f64,
-    #[serde(default)]
-    cache_gb: f64,
-    #[serde(default)]
-    fetch_gb_per_s: f64,
-    hourly: f64,
-    #[serde(default)]
-    spot_price: f64,
-    startup_s: f64,
-    yards: Vec<String>,
-}
-
 impl Flavor {
     pub fn from_wire(w: &WireFlavor, names: &mut Names) -> Flavor {
         Flavor {
@@ -749,311 +725,15 @@
     }
 }
 
-#[derive(Debug, Clone, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Host {
-    pub uid: String,
-    pub berth: String,
-    pub yard: String,
-    #[serde(default)]
-    pub loaners: bool,
-    pub status: String,
-    #[serde(default)]
-    pub held_s: f64,
-}
-
-/// The cloud by its protocol.
-pub struct Cloud {
-    http: Client,
-    addr: String,
-}
-
-const LIMIT: Duration = Duration::from_millis(3000);
-
-impl Cloud {
-    pub fn new(addr: String) -> Cloud {
-        Cloud { http: Client::new(2), addr }
-    }
-
-    pub async fn flavors(&self) -> Option<Vec<WireFlavor>> {
-        #[derive(Deserialize)]
-        struct Body {
-            berths: Vec<WireFlavor>,
-        }
-        let a = self.http.get(&self.addr, "/flavors", LIMIT).await.ok()?;
-        (a.status == 200).then(|| a.decode::<Body>())?.map(|b| b.berths)
-    }
-
-    /// Ok(Some): rented; Ok(None): refused for want of capacity; Err: ask again.
-    async fn rent(&self, name: &str, r: &RentalRecord) -> Result<Option<Vec<String>>, CallError> {
-        #[derive(Serialize)]
-        struct Ask<'a> {
-            hire: &'a str,
-            berth: &'a str,
-            yard: &'a str,
-            loaners: bool,
-            number: u32,
-        }
-        #[derive(Deserialize)]
-        struct Got {
-            hearths: Vec<String>,
-        }
-        let ask =
-            Ask { hire: name, berth: &r.berth, yard: &r.yard, loaners: r.spot, number: r.number };
-        let a = self.http.post(&self.addr, "/hosts", &ask, LIMIT).await?;
-        let lost = |why: &str| Err(CallError::Lost(why.into()));
-        match a.status {
-            200 => a.decode::<Got>().map_or_else(|| lost("malformed"), |g| Ok(Some(g.hearths))),
-            503 if String::from_utf8_lossy(&a.body).contains("no capacity") => Ok(None),
-            400 => {
-                tracing::error!("the cloud calls rental {name} malformed");
-                Ok(None)
-            }
-            s => lost(&format!("status {s}")),
-        }
-    }
-
-    async fn give_back(&self, names: &[String]) -> bool {
-        #[derive(Serialize)]
-        struct Ask<'a> {
-            hearths: &'a [String],
-        }
-        let a = self.http.post(&self.addr, "/hosts/return", &Ask { hearths: names }, LIMIT).await;
-        a.is_ok_and(|a| a.status == 200)
-    }
-
-    async fn list(&self) -> Option<Vec<Host>> {
-        #[derive(Deserialize)]
-        struct Page {
-            hearths: Vec<Host>,
-            #[serde(default)]
-            more: bool,
-        }
-        let mut out: Vec<Host> = vec![];
-        loop {
-            let since = out.last().map(|h| format!("since={}&", h.uid)).unwrap_or_default();
-            let path = format!("/hosts?{since}limit=500");
-            let a = self.http.get(&self.addr, &path, LIMIT).await.ok()?;
-            if a.status != 200 {
-                return None;
-            }
-            let page: Page = a.decode()?;
-            let end = !page.more || page.hearths.is_empty();
-            out.extend(page.hearths);
-            if end {
-                return Some(out);
-            }
-        }
-    }
-}
-
-/// The key under which the number of provided machines is recorded.
-pub const PROVIDED: &str = "c/provided";
-
-/// Counts the machines that are there before the service has ever rented any, and records their
-/// number. None: not known yet.
-async fn survey(node: &Node, term: u64) -> Option<u32> {
-    let hosts = node.cloud.list().await?;
-    let now = node.now();
-    let (machines, stamp) = node.with_cell(term, |c, _| {
-        c.listed(&hosts, now);
-        (c.provided(&hosts), c.leader.stamp)
-    })?;
-    let when = [Cond { path: LEADER.into(), stamp }, Cond { path: PROVIDED.into(), stamp: 0 }];
-    let v = Record::Provided(ProvidedRecord { machines });
-    let apply = [Change::Put { put: PROVIDED.into(), v, charter: None }];
-    match node.store.commit(&when, &apply).await {
-        Outcome::Applied(_) => Some(machines),
-        // An earlier try without an answer may have been applied.
-        _ => Some(node.store.get::<ProvidedRecord>(PROVIDED).await.ok()??.0.machines),
-    }
-}
-
-/// Calls to the cloud that may be made now: paced below its limit, with room for a burst.
-#[derive(Debug)]
-pub struct Pace {
-    rps: f64,
-    tokens: f64,
-    at: u64,
-}
-
-impl Pace {
-    pub fn new(rps: f64, now: u64) -> Pace {
-        // An earlier leader may just have used up what a burst allows.
-        Pace { rps, tokens: rps, at: now }
-    }
-
-    /// The cloud allows two seconds' worth at once; a second's worth is left alone.
-    pub fn refill(&mut self, now: u64) {
-        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
-        self.at = now;
-        self.tokens = (self.tokens + passed * self.rps * 0.8).min(self.rps.max(1.0));
-    }
-
-    pub fn left(&self) -> usize {
-        self.tokens.max(0.0) as usize
-    }
-
-    pub fn take(&mut self) -> bool {
-        let some = self.tokens >= 1.0;
-        if some {
-            self.tokens -= 1.0;
-        }
-        some
-    }
-}
-
-async fn rent(node: Arc<Node>, term: u64, name: String, record: RentalRecord) {
-    let answer = node.cloud.rent(&name, &record).await;
-    let now = node.now();
-    match answer {
-        Ok(hearths) => {
-            node.with_cell(term, |c, _| c.rented(&name, hearths, now));
-        }
-        Err(e) => {
-            tracing::debug!("rental {name}: {e}");
-            node.with_cell(term, |c, _| c.rental_unanswered(&name, now));
-        }
-    }
-    node.kick();
-}
-
-async fn give_back(node: Arc<Node>, term: u64, names: Vec<String>) {
-    if node.cloud.give_back(&names).await {
-        node.with_cell(term, |c, _| c.returned(&names));
-        node.kick();
-    }
-}
-
-async fn take_list(node: Arc<Node>, term: u64) {
-    if let Some(hosts) = node.cloud.list().await {
-        let now = node.now();
-        node.with_cell(term, |c, _| c.listed(&hosts, now));
-        node.kick();
-    }
-}
-
-const STEP: Duration = Duration::from_millis(150);
-const LIST_MS: u64 = 2500;
-/// Plans look at all that waits and runs.
-const PLAN_MS: u64 = 450;
-
-/// The leader's dealings with the cloud. Returns go first, since they may free tasks, then
-/// rentals, several at once; dropped with the term, which any answer that comes later is held
-/// against.
-pub async fn run(node: Arc<Node>, term: u64) {
-    let mut pace = Pace::new(node.settings.deployment.cloud.rps, node.now());
-    let mut rentals = tokio::task::JoinSet::new();
-    let (mut returning, mut listing) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
-    let (mut listed, mut planned, mut plan_gap) = (0u64, 0u64, PLAN_MS);
-    loop {
-        tokio::time::sleep(STEP).await;
-        let now = node.now();
-        pace.refill(now);
-        while rentals.try_join_next().is_some() {}
-        while returning.try_join_next().is_some() {}
-        while listing.try_join_next().is_some() {}
-        if node.with_cell(term, |c, lead| lead && c.fleet.provided.is_none()) == Some(true) {
-            if pace.take()
-                && let Some(n) = survey(&node, term).await
-            {
-                tracing::info!("{n} machines are provided");
-                node.with_cell(term, |c, _| c.fleet.provided = Some(n));
-            }
-            continue;
-        }
-        let (idle, left) = (returning.is_empty(), pace.left());
-        let reached = node.reached_zones(now);
-        let plan = node.with_cell(term, |c, lead| {
-            if !lead || left == 0 {
-                return (vec![], vec![]);
-            }
-            if now < planned + plan_gap {
-                let back = if idle { c.due_returns() } else { vec![] };
-                let most = left - usize::from(!back.is_empty());
-                return (back, c.due_rentals(now, most));
-            }
-            planned = now;
-            c.plan_returns(now);
-            let zones: Vec<ZoneId> = reached.iter().filter_map(|z| c.names.zones.get(z)).collect();
-            c.watch_zones(&zones, now);
-            c.watch_boots(now);
-            c.plan_rentals(now);
-            let back = if idle { c.due_returns() } else { vec![] };
-            let most = left - usize::from(!back.is_empty());
-            (back, c.due_rentals(now, most))
-        });
-        let Some((back, rent_now)) = plan else { return };
-        if planned == now {
-            // With much to look at, less often.
-            plan_gap = ((node.now() - now) * 8).clamp(PLAN_MS, 8 * PLAN_MS);
-        }
-        node.kick();
-        if !back.is_empty() && pace.take() {
-            returning.spawn(give_back(node.clone(), term, back));
-        }
-        for (name, record) in rent_now {
-            pace.take();
-            rentals.spawn(rent(node.clone(), term, name, record));
-        }
-        if now > listed + LIST_MS && listing.is_empty() && pace.take() {
-            listed = now;
-            listing.spawn(take_list(node.clone(), term));
-        }
-    }
-}
-
 #[cfg(test)]
-pub mod tests {
+mod tests {
     use super::*;
 
-    pub fn flavors(names: &mut Names) -> Vec<Flavor> {
-        let make = |label: &str, cpus: f64, hourly: f64| WireFlavor {
-            label: label.into(),
-            cpus,
-            cards: 0.0,
-            mem_gb: cpus * 4.0,
-            cache_gb: 50.0,
-            fetch_gb_per_s: 0.2,
-            hourly,
-            spot_price: hourly / 3.0,
-            startup_s: 20.0,
-            yards: vec!["north".into(), "south".into()],
-        };
-        [make("small", 4.0, 0.2), make("big", 32.0, 1.8)]
-            .iter()
-            .map(|w| {
-                names.types.intern(&w.label);
-                Flavor::from_wire(w, names)
-            })
-            .collect()
-    }
-
-    #[test]
-    fn calls_are_paced_below_the_limit() {
-        // Several rentals go out at once, but never more than the cloud's burst allows, whatever
-        // an earlier leader has just used up.
-        let mut pace = Pace::new(5.0, 1000);
-        let burst = |p: &mut Pace| (0..100).filter(|_| p.take()).count();
-        assert_eq!(burst(&mut pace), 5);
-        let cases = [(1100, 0), (2100, 4), (60_000, 5)];
-        for (at, calls) in cases {
-            pace.refill(at);
-            assert_eq!(pace.left(), calls, "{at}");
-            assert_eq!(burst(&mut pace), calls, "{at}");
-        }
-        // A cloud with less than one call a second is still asked.
-        let mut slow = Pace::new(0.2, 0);
-        assert_eq!(burst(&mut slow), 0);
-        slow.refill(7_000);
-        assert_eq!(burst(&mut slow), 1);
-    }
-
     #[test]
     fn overdue_boots_are_replaced_where_others_come_up_in_time() {
         // Told by operators: machines came up late or never, and the work meant for them waited:
         // what was booting counted as coming for ever.
-        let mut c = crate::safety_tests::cell();
+        let mut c = crate::for_tests::cell();
         let (small, north, south) = (TypeId(0), ZoneId(0), ZoneId(1));
         let boot = |c: &mut Cell, name: &str, zone: ZoneId, since: u64| {
             let (spot, known) = (false, since);
@@ -1100,8 +780,8 @@
             (|b| b.due_s = None, 60_000, false),
         ];
         for (i, (edit, waited, only_cheap)) in cases.into_iter().enumerate() {
-            let mut c = crate::safety_tests::cell();
-            let mut body = crate::jobs::tests::body("wk-1");
+            let mut c = crate::for_tests::cell();
+            let mut body = crate::for_tests::body("wk-1");
             (body.lot, body.cpus) = ("study".into(), 0.25);
             edit(&mut body);
             let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
@@ -1120,7 +800,7 @@
 
     #[test]
     fn a_rental_is_asked_for_once_at_a_time_and_only_when_recorded() {
-        let mut c = crate::safety_tests::cell();
+        let mut c = crate::for_tests::cell();
         c.fleet.provided = Some(0);
         let kind = (TypeId(0), ZoneId(0), false);
         for name in ["r-7-1", "r-7-2", "r-7-3"] {
--- /dev/null
+++ b/crates/core/src/for_tests.rs
@@ -0,0 +1,177 @@
+//! A sample leader's state and its stand-ins, for tests of this crate and of the controller.
+
+use crate::cell::{Cell, Key};
+use crate::fleet::{Flavor, WireFlavor};
+use crate::jobs::{JobBody, Precedence, Shape, admit_shape};
+use crate::names::*;
+use crate::records::{Change, Cond, JobRecord};
+use crate::settings::Settings;
+use crate::workers::{Order, Parcel, Report, Taken};
+use std::sync::Arc;
+
+pub const TERM: u64 = 7;
+pub const T0: u64 = 100_000;
+
+pub fn cell() -> Cell {
+    let settings = Arc::new(sample());
+    let mut names = Names::new(&settings);
+    let flavors = flavors(&mut names);
+    let leader = Cond { path: "c/leader".into(), stamp: 50 };
+    Cell::new(settings, TERM, leader, T0, names, flavors)
+}
+
+/// The record of an open job that waits for nothing.
+pub fn record(uid: &str) -> JobRecord {
+    let job = body(uid);
+    JobRecord { job, at: T0, cancelled: false, waits: None, since: None }
+}
+
+pub fn add_job(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
+    let mut body = body(uid);
+    edit(&mut body);
+    let settings = c.settings.clone();
+    let flavors = c.flavors.clone();
+    let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
+    let id = c.insert_job(spec, body, T0, T0 as i64);
+    let ver = c.touch(Key::Job(id));
+    c.jobs.get_mut(&id).expect("there").accept_ver = ver;
+    id
+}
+
+/// Everything dirty is recorded.
+pub fn commit(c: &mut Cell) -> Vec<Change> {
+    let mut out = vec![];
+    let mut rev = 1000;
+    while let Some(batch) = c.batch(16) {
+        assert_eq!(batch.when[0], c.leader, "every transaction is conditional on the leader key");
+        rev += 1;
+        c.applied(&batch, rev);
+        out.extend(batch.apply);
+    }
+    out
+}
+
+pub fn report(shift: u64, tally: u64, warrant: u64, parcels: &[(&str, u64, &str)]) -> Report {
+    let parcels = parcels
+        .iter()
+        .map(|(p, attempt, status)| {
+            let (status, cause) = status.split_once(':').unwrap_or((status, ""));
+            Parcel {
+                parcel: (*p).into(),
+                attempt: *attempt,
+                status: status.into(),
+                cause: (!cause.is_empty()).then(|| cause.into()),
+                kept: false,
+            }
+        })
+        .collect();
+    Report {
+        hearth: "n-1".into(),
+        addr: "127.0.0.1:9".into(),
+        berth: "small".into(),
+        yard: "north".into(),
+        loaners: false,
+        shift,
+        tally,
+        warrant,
+        recall_s: None,
+        parcels,
+    }
+}
+
+/// Takes a report in, places, records, and returns the orders of its response.
+pub fn exchange(c: &mut Cell, r: &Report, now: u64) -> Vec<Order> {
+    let Taken::Answer(mid) = c.on_report(r, now) else { panic!("not answered") };
+    c.place(now);
+    commit(c);
+    c.check();
+    c.orders(mid, (r.shift, r.tally), now, true).expect("orders").orders
+}
+
+pub const SAMPLE: &str = r#"
+member = "c-0"
+zone = "north"
+front = "127.0.0.1:8080"
+cluster_listen = "127.0.0.1:8081"
+future_field = 3
+[[members]]
+member = "c-1"
+zone = "south"
+endpoint = "127.0.0.1:8082"
+[endpoints]
+cloud = "127.0.0.1:8443"
+state = "127.0.0.1:2379"
+[deployment]
+zones = ["north", "south"]
+clock_off_ms = 5.0
+teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }, { name = "blue", cpus = 8.0, cpus_max = 32.0 }, { name = "guest" }]
+objectives = [{ kind = "wait", class = "steady", within_s = 40.0 }, { kind = "finished", class = "steady", within_s = 90.0 }]
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[deployment.state]
+rps = 250.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 16
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[deployment.limits]
+max_connections = 100
+"#;
+
+pub fn sample() -> Settings {
+    toml::from_str(SAMPLE).expect("the sample parses")
+}
+
+pub fn body(uid: &str) -> JobBody {
+    JobBody {
+        uid: uid.into(),
+        lot: "steady".into(),
+        owner: "red".into(),
+        shape: Shape::Array,
+        precedence: Precedence::Low,
+        parcels: 3,
+        cpus: 1.0,
+        cards: 0.0,
+        mem_gb: 2.0,
+        cargo: "img".into(),
+        pull_gb: 1.0,
+        berths: None,
+        yard: None,
+        together: false,
+        spread: false,
+        loaners: true,
+        expected_s: 20.0,
+        stamp_every_s: 0.0,
+        stamp_s: 0.0,
+        due_s: Some(60.0),
+        awaits: None,
+    }
+}
+
+pub fn flavors(names: &mut Names) -> Vec<Flavor> {
+    let make = |label: &str, cpus: f64, hourly: f64| WireFlavor {
+        label: label.into(),
+        cpus,
+        cards: 0.0,
+        mem_gb: cpus * 4.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.2,
+        hourly,
+        spot_price: hourly / 3.0,
+        startup_s: 20.0,
+        yards: vec!["north".into(), "south".into()],
+    };
+    [make("small", 4.0, 0.2), make("big", 32.0, 1.8)]
+        .iter()
+        .map(|w| {
+            names.types.intern(&w.label);
+            Flavor::from_wire(w, names)
+        })
+        .collect()
+}
--- a/src/names.rs
+++ b/crates/core/src/names.rs
@@ -1,5 +1,6 @@
 //! Names are mapped to dense indices at the door; inside, only the indices travel.
 
+use crate::settings::Settings;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -76,6 +77,29 @@
     }
 }
 
+/// Every name that the service has met.
+#[derive(Debug, Default)]
+pub struct Names {
+    pub teams: Interner<TeamId>,
+    pub zones: Interner<ZoneId>,
+    pub types: Interner<TypeId>,
+    pub classes: Interner<ClassId>,
+    pub images: Interner<ImageId>,
+}
+
+impl Names {
+    pub fn new(settings: &Settings) -> Names {
+        let mut names = Names::default();
+        for t in &settings.deployment.teams {
+            names.teams.intern(&t.name);
+        }
+        for z in &settings.deployment.zones {
+            names.zones.intern(z);
+        }
+        names
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/core/src/pace.rs
@@ -0,0 +1,60 @@
+//! How often something outside may be called.
+
+/// Calls to the cloud that may be made now: paced below its limit, with room for a burst.
+#[derive(Debug)]
+pub struct Pace {
+    rps: f64,
+    tokens: f64,
+    at: u64,
+}
+
+impl Pace {
+    pub fn new(rps: f64, now: u64) -> Pace {
+        // An earlier leader may just have used up what a burst allows.
+        Pace { rps, tokens: rps, at: now }
+    }
+
+    /// The cloud allows two seconds' worth at once; a second's worth is left alone.
+    pub fn refill(&mut self, now: u64) {
+        let passed = now.saturating_sub(self.at) as f64 / 1000.0;
+        self.at = now;
+        self.tokens = (self.tokens + passed * self.rps * 0.8).min(self.rps.max(1.0));
+    }
+
+    pub fn left(&self) -> usize {
+        self.tokens.max(0.0) as usize
+    }
+
+    pub fn take(&mut self) -> bool {
+        let some = self.tokens >= 1.0;
+        if some {
+            self.tokens -= 1.0;
+        }
+        some
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_paced_below_the_limit() {
+        // Several rentals go out at once, but never more than the cloud's burst allows, whatever
+        // an earlier leader has just used up.
+        let mut pace = Pace::new(5.0, 1000);
+        let burst = |p: &mut Pace| (0..100).filter(|_| p.take()).count();
+        assert_eq!(burst(&mut pace), 5);
+        let cases = [(1100, 0), (2100, 4), (60_000, 5)];
+        for (at, calls) in cases {
+            pace.refill(at);
+            assert_eq!(pace.left(), calls, "{at}");
+            assert_eq!(burst(&mut pace), calls, "{at}");
+        }
+        // A cloud with less than one call a second is still asked.
+        let mut slow = Pace::new(0.2, 0);
+        assert_eq!(burst(&mut slow), 0);
+        slow.refill(7_000);
+        assert_eq!(burst(&mut slow), 1);
+    }
+}
--- a/src/pipelines.rs
+++ b/crates/core/src/pipelines.rs
@@ -440,10 +440,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::for_tests::{add_job, cell, commit, exchange, record, report};
     use crate::jobs::admit_shape;
-    use crate::leadership::{Records, rebuild};
-    use crate::safety_tests::{add_job, cell, commit, exchange, record, report};
-    use crate::store::{Change, FinalRecord, LinksRecord, Record, Waits};
+    use crate::records::{Change, FinalRecord, LinksRecord, Record, Waits};
+    use crate::takeover::{Records, rebuild};
 
     const T0: u64 = 100_000;
 
@@ -458,7 +458,7 @@
             Awaits::Cancelled => (vec![], true),
             other => panic!("{uid} on {on:?}: {other:?}"),
         };
-        let mut body = crate::jobs::tests::body(uid);
+        let mut body = crate::for_tests::body(uid);
         edit(&mut body);
         let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
         let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
@@ -503,7 +503,7 @@
     /// A successor that has read the records, and how those ended that are open no more.
     fn successor(store: &BTreeMap<String, Record>) -> Cell {
         let mut c = cell();
-        rebuild(&mut c, records(store), T0);
+        rebuild(&mut c, records(store), T0, T0);
         c
     }
 
--- a/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -854,8 +854,8 @@
     use crate::jobs::{JobBody, admit_shape};
 
     fn spec(edit: fn(&mut JobBody)) -> Arc<Spec> {
-        let mut c = crate::safety_tests::cell();
-        let mut body = crate::jobs::tests::body("wk-1");
+        let mut c = crate::for_tests::cell();
+        let mut body = crate::for_tests::body("wk-1");
         edit(&mut body);
         let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
         Arc::new(admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid"))
@@ -865,7 +865,7 @@
     fn passes_are_shared_by_what_comes_in_together() {
         // Guards the leader's processor time: with hundreds of guests' jobs waiting, a pass for
         // each of 300 reports a second left none for the users, whose questions timed out.
-        let mut c = crate::safety_tests::cell();
+        let mut c = crate::for_tests::cell();
         c.place(1000);
         assert_eq!(c.pass_pause(1000), None, "nothing has changed");
         c.stir = true;
--- a/src/safety_tests.rs
+++ b/crates/core/src/safety_tests.rs
@@ -1,93 +1,15 @@
 //! Tables of the cases on which safety rests, played on one leader's cell with stand-ins for
 //! worker and store. The random schedules in `tests/failures.rs` cover their combinations.
 
-use crate::cell::{Cell, Key, Names};
-use crate::jobs::{JobBody, Shape, admit_shape};
-use crate::leadership::{Records, rebuild};
+use crate::cell::{Cell, Key};
+use crate::for_tests::*;
+use crate::jobs::{Shape, admit_shape};
 use crate::names::*;
-use crate::store::{Change, Cond, JobRecord, MachineRecord, OnRecord, Record};
-use crate::workers::{Order, Parcel, Report, Taken};
+use crate::records::{Change, Cond, MachineRecord, OnRecord, Record};
+use crate::takeover::{Records, rebuild};
+use crate::workers::{Order, Report, Taken};
 use std::sync::Arc;
 
-const TERM: u64 = 7;
-const T0: u64 = 100_000;
-
-pub fn cell() -> Cell {
-    let settings = Arc::new(crate::settings::tests::sample());
-    let mut names = Names::new(&settings);
-    let flavors = crate::fleet::tests::flavors(&mut names);
-    let leader = Cond { path: "c/leader".into(), stamp: 50 };
-    Cell::new(settings, TERM, leader, T0, names, flavors)
-}
-
-/// The record of an open job that waits for nothing.
-pub fn record(uid: &str) -> JobRecord {
-    let job = crate::jobs::tests::body(uid);
-    JobRecord { job, at: T0, cancelled: false, waits: None, since: None }
-}
-
-pub fn add_job(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
-    let mut body = crate::jobs::tests::body(uid);
-    edit(&mut body);
-    let settings = c.settings.clone();
-    let flavors = c.flavors.clone();
-    let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
-    let id = c.insert_job(spec, body, T0, T0 as i64);
-    let ver = c.touch(Key::Job(id));
-    c.jobs.get_mut(&id).expect("there").accept_ver = ver;
-    id
-}
-
-/// Everything dirty is recorded.
-pub fn commit(c: &mut Cell) -> Vec<Change> {
-    let mut out = vec![];
-    let mut rev = 1000;
-    while let Some(batch) = c.batch(16) {
-        assert_eq!(batch.when[0], c.leader, "every transaction is conditional on the leader key");
-        rev += 1;
-        c.applied(&batch, rev);
-        out.extend(batch.apply);
-    }
-    out
-}
-
-pub fn report(shift: u64, tally: u64, warrant: u64, parcels: &[(&str, u64, &str)]) -> Report {
-    let parcels = parcels
-        .iter()
-        .map(|(p, attempt, status)| {
-            let (status, cause) = status.split_once(':').unwrap_or((status, ""));
-            Parcel {
-                parcel: (*p).into(),
-                attempt: *attempt,
-                status: status.into(),
-                cause: (!cause.is_empty()).then(|| cause.into()),
-                kept: false,
-            }
-        })
-        .collect();
-    Report {
-        hearth: "n-1".into(),
-        addr: "127.0.0.1:9".into(),
-        berth: "small".into(),
-        yard: "north".into(),
-        loaners: false,
-        shift,
-        tally,
-        warrant,
-        recall_s: None,
-        parcels,
-    }
-}
-
-/// Takes a report in, places, records, and returns the orders of its response.
-pub fn exchange(c: &mut Cell, r: &Report, now: u64) -> Vec<Order> {
-    let Taken::Answer(mid) = c.on_report(r, now) else { panic!("not answered") };
-    c.place(now);
-    commit(c);
-    c.check();
-    c.orders(mid, (r.shift, r.tally), now, true).expect("orders").orders
-}
-
 fn runs(orders: &[Order]) -> Vec<(String, u64)> {
     let run = |o: &Order| match o {
         Order::Run { parcel, attempt } => Some((parcel.clone(), *attempt)),
@@ -205,7 +127,7 @@
     };
     let machines = vec![("m/n-1".to_string(), machine, 3)];
     let jobs = vec![("j/wk-1".into(), job, 2)];
-    rebuild(&mut c, Records { jobs, machines, ..Records::default() }, T0);
+    rebuild(&mut c, Records { jobs, machines, ..Records::default() }, T0, T0);
     let (id, mid) = (c.by_uid["wk-1"], c.by_name["n-1"]);
     assert_eq!(c.jobs[&id].waiting.len(), 1, "two of three may be on the machine");
     assert_eq!(c.usage[0].cpus, 2.0, "and count against the limit");
@@ -411,7 +333,7 @@
         let mut c = cell();
         c.value_limit = limit;
         for n in 0..300 {
-            let mut body = crate::jobs::tests::body(&format!("wk-{n:020}"));
+            let mut body = body(&format!("wk-{n:020}"));
             (body.owner, body.parcels, body.cpus, body.mem_gb) = ("guest".into(), 1, 0.1, 0.1);
             let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
             let spec = admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid");
@@ -577,7 +499,7 @@
         c.taken = takeover;
         let jobs = vec![("j/wk-1".to_string(), job.clone(), 2)];
         let machines = vec![("m/n-1".to_string(), machine.clone(), 3)];
-        rebuild(&mut c, Records { jobs, machines, ..Records::default() }, takeover);
+        rebuild(&mut c, Records { jobs, machines, ..Records::default() }, takeover, takeover);
         // A healthy machine of another name reports: nothing may be started on it.
         let mut r = report(1, 1, TERM, &[]);
         r.hearth = "n-2".into();
@@ -739,7 +661,7 @@
         let guard = Cond { path: "f/wk-1".into(), stamp: 0 };
         assert!(batch.when.contains(&guard), "conditional on there being no final record");
         // It is refused, and the final record read back.
-        let last = crate::store::FinalRecord { done: true, tasks: 3 };
+        let last = crate::records::FinalRecord { done: true, tasks: 3 };
         c.read_back("f/wk-1", Some(40), Some(last));
         assert!(c.batch(16).is_none() && c.job("wk-1").is_none() && c.order.is_empty());
         assert_eq!(c.show("wk-1").expect("known").status, "done");
@@ -750,7 +672,7 @@
     let id = add_job(&mut c, "wk-1", |_| ());
     commit(&mut c);
     c.cancel(id, T0);
-    let last = crate::store::FinalRecord { done: false, tasks: 0 };
+    let last = crate::records::FinalRecord { done: false, tasks: 0 };
     c.read_back("f/wk-1", Some(40), Some(last));
     let batch = c.batch(16).expect("still to be written");
     assert!(batch.when.contains(&Cond { path: "f/wk-1".into(), stamp: 40 }));
--- a/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -352,48 +352,9 @@
 }
 
 #[cfg(test)]
-pub mod tests {
+mod tests {
     use super::*;
-
-    pub const SAMPLE: &str = r#"
-member = "c-0"
-zone = "north"
-front = "127.0.0.1:8080"
-cluster_listen = "127.0.0.1:8081"
-future_field = 3
-[[members]]
-member = "c-1"
-zone = "south"
-endpoint = "127.0.0.1:8082"
-[endpoints]
-cloud = "127.0.0.1:8443"
-state = "127.0.0.1:2379"
-[deployment]
-zones = ["north", "south"]
-clock_off_ms = 5.0
-teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }, { name = "blue", cpus = 8.0, cpus_max = 32.0 }, { name = "guest" }]
-objectives = [{ kind = "wait", class = "steady", within_s = 40.0 }, { kind = "finished", class = "steady", within_s = 90.0 }]
-[deployment.workers]
-report_s = 1.0
-lease_s = 10.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 35.0
-[deployment.state]
-rps = 250.0
-write_rps = 60.0
-value_kb = 8.0
-txn_ops = 16
-[deployment.cloud]
-rps = 5.0
-list_lag_s = 5.0
-[deployment.limits]
-max_connections = 100
-"#;
-
-    pub fn sample() -> Settings {
-        toml::from_str(SAMPLE).expect("the sample parses")
-    }
+    use crate::for_tests::{SAMPLE, sample};
 
     #[test]
     fn refuses_what_makes_no_sense_and_names_the_field() {
--- a/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -8,14 +8,15 @@
 //! off from some workers or from all, while a successor takes over. Jobs wait for others, are
 //! cancelled in the middle of pipelines, and the store's limits fall while longer records exist.
 
-use copperhaven::cell::{Batch, Cell, Names};
-use copperhaven::fleet::Flavor;
-use copperhaven::jobs::{self, JobBody, Precedence, Shape};
-use copperhaven::leadership::{Records, rebuild};
-use copperhaven::pipelines::{Awaits, Named};
-use copperhaven::settings::{NextLimits, Settings};
-use copperhaven::store::{Change, Cond, Record};
-use copperhaven::workers::{Order, Parcel, Report, Taken};
+use copperhaven_core::cell::{Batch, Cell};
+use copperhaven_core::fleet::Flavor;
+use copperhaven_core::jobs::{self, JobBody, Precedence, Shape};
+use copperhaven_core::names::Names;
+use copperhaven_core::pipelines::{Awaits, Named};
+use copperhaven_core::records::{Change, Cond, Record};
+use copperhaven_core::settings::{NextLimits, Settings};
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_core::workers::{Order, Parcel, Report, Taken};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -263,7 +264,7 @@
                 _ => {}
             }
         }
-        rebuild(&mut cell, read, now);
+        rebuild(&mut cell, read, now, now);
         if now + NEW >= self.falls {
             cell.value_limit = LOW;
         }
--- a/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -2,15 +2,15 @@
 //! from `fixtures/production.txt`, made by that version's own code; what it would read and write
 //! again of this version's records is told by its structures, restated here.
 
-use copperhaven::cell::{Cell, Key, Names};
-use copperhaven::fleet::{Flavor, WireFlavor};
-use copperhaven::http::encode;
-use copperhaven::jobs::{JobBody, Precedence, Shape, admit_shape};
-use copperhaven::leadership::{Records, rebuild};
-use copperhaven::names::JobId;
-use copperhaven::settings::Settings;
-use copperhaven::store::*;
-use copperhaven::workers::{Order, Parcel, Report, Taken};
+use copperhaven_core::cell::{Cell, Key};
+use copperhaven_core::fleet::{Flavor, WireFlavor};
+use copperhaven_core::jobs::{JobBody, Precedence, Shape, admit_shape};
+use copperhaven_core::names::{JobId, Names};
+use copperhaven_core::records::*;
+use copperhaven_core::settings::Settings;
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_core::workers::{Order, Parcel, Report, Taken};
+use copperhaven_wire::encode;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -162,7 +162,7 @@
     let last: FinalRecord = read("f/wk-000398");
     assert!(last.done && last.tasks == 1 && fixture("j/wk-000398").is_none());
     let mut c = cell(8192);
-    rebuild(&mut c, left_by_production(), T0);
+    rebuild(&mut c, left_by_production(), T0, T0);
     // An array half of which is done, scattered, the rest on a machine; a cancelled one.
     let (array, ended) = (&c.jobs[&c.by_uid["wk-000412"]], &c.jobs[&c.by_uid["wk-000500"]]);
     assert_eq!((array.done.len(), array.onto.len(), array.waiting.len()), (60, 60, 0));
@@ -178,7 +178,7 @@
     // is true, nothing is added to it, and everything else is recorded meanwhile.
     let long = Record::Machine(read("m/n-000231")).bytes();
     let mut c = cell(long - 1);
-    rebuild(&mut c, left_by_production(), T0);
+    rebuild(&mut c, left_by_production(), T0, T0);
     let mid = c.by_name["n-000231"];
     let others = commit(&mut c);
     assert!(others.iter().all(|x| x.path() != "m/n-000231"));
@@ -244,7 +244,7 @@
     };
     read.jobs.push(("j/wk-000700".into(), job, 1));
     let mut next = cell(2048);
-    rebuild(&mut next, read, T0);
+    rebuild(&mut next, read, T0, T0);
     let job = &next.jobs[&next.by_uid["wk-000700"]];
     assert_eq!((job.done.len(), job.waiting.len()), (750, 750));
     // All that was written goes when the job is over.
@@ -361,7 +361,7 @@
     let record: JobRecord = rmp_serde::from_slice(&encode(&again)).expect("read again");
     let mut next = cell(2048);
     let jobs = vec![("j/wk-2".to_string(), record, 7)];
-    rebuild(&mut next, Records { jobs, ..Records::default() }, T0);
+    rebuild(&mut next, Records { jobs, ..Records::default() }, T0, T0);
     assert_eq!(next.show("wk-2").expect("known").status, "aborted");
 }
 
@@ -369,7 +369,7 @@
 fn leadership_goes_back_and_forth() {
     // Old leads, new takes over and finishes some, old takes over again and reads the same.
     let mut c = cell(2048);
-    rebuild(&mut c, left_by_production(), T0);
+    rebuild(&mut c, left_by_production(), T0, T0);
     let id = c.by_uid["wk-000412"];
     let mid = c.by_name["n-000231"];
     let attempt = c.machines[&mid].entries.values().map(|e| e.attempt).max().expect("some");
--- /dev/null
+++ b/crates/wire/src/jobs.rs
@@ -0,0 +1,252 @@
+//! Jobs as users send them and as they are told of them (protocol, "Users -> controller nodes").
+
+use crate::limits::{MOST_TASKS, MOST_TEXT};
+use serde::{Deserialize, Serialize};
+
+/// A job as it is submitted and recorded.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct JobBody {
+    pub uid: String,
+    pub lot: String,
+    pub owner: String,
+    pub shape: Shape,
+    pub precedence: Precedence,
+    pub parcels: u64,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub cargo: String,
+    pub pull_gb: f64,
+    #[serde(default)]
+    pub berths: Option<Vec<String>>,
+    #[serde(default)]
+    pub yard: Option<String>,
+    pub together: bool,
+    pub spread: bool,
+    pub loaners: bool,
+    pub expected_s: f64,
+    pub stamp_every_s: f64,
+    pub stamp_s: f64,
+    #[serde(default)]
+    pub due_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts. Taken out when it is
+    /// accepted: the record keeps them apart (`store::Waits`).
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub awaits: Option<Vec<String>>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shape {
+    #[serde(rename = "batch")]
+    Array,
+    #[serde(rename = "ensemble")]
+    Gang,
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priorities, the highest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Precedence {
+    #[serde(rename = "prod")]
+    Production,
+    #[serde(rename = "high")]
+    High,
+    #[serde(rename = "standard")]
+    Normal,
+    #[serde(rename = "best_effort")]
+    Low,
+}
+
+/// A submission that breaks the protocol; the text names the field.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("malformed: {0}")]
+pub struct Malformed(pub String);
+
+/// Ids are `wk-` and digits; the digits bound keys at the state service.
+pub fn valid_uid(uid: &str) -> bool {
+    uid.strip_prefix("wk-")
+        .is_some_and(|d| (1..=20).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// The id alone, so that a known job is recognised whatever the rest of a repeat says.
+pub fn peek_uid(body: &[u8]) -> Option<String> {
+    #[derive(Deserialize)]
+    struct Id {
+        uid: String,
+    }
+    rmp_serde::from_slice::<Id>(body).ok().map(|i| i.uid).filter(|u| valid_uid(u))
+}
+
+pub fn parse(body: &[u8]) -> Result<JobBody, Malformed> {
+    let bad = |why: &str| Err(Malformed(why.to_string()));
+    // Structs also decode from MessagePack lists; the protocol wants a map.
+    if !matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf)) {
+        return bad("not a map");
+    }
+    let mut job: JobBody = rmp_serde::from_slice(body).map_err(|e| Malformed(e.to_string()))?;
+    if !valid_uid(&job.uid) {
+        return bad("uid");
+    }
+    for (name, text) in [("lot", &job.lot), ("owner", &job.owner), ("cargo", &job.cargo)] {
+        if text.is_empty() || text.len() > MOST_TEXT {
+            return bad(name);
+        }
+    }
+    if job.parcels == 0 || job.parcels > MOST_TASKS {
+        return bad("parcels");
+    }
+    let amounts = [
+        ("cpus", job.cpus),
+        ("cards", job.cards),
+        ("memGb", job.mem_gb),
+        ("pullGb", job.pull_gb),
+        ("expectedS", job.expected_s),
+        ("stampEveryS", job.stamp_every_s),
+        ("stampS", job.stamp_s),
+        ("dueS", job.due_s.unwrap_or(0.0)),
+    ];
+    for (name, v) in amounts {
+        if !v.is_finite() || v < 0.0 {
+            return bad(name);
+        }
+    }
+    if job.cpus == 0.0 && job.cards == 0.0 && job.mem_gb == 0.0 {
+        return bad("cpus");
+    }
+    let awaits = job.awaits.iter().flatten();
+    if awaits.clone().any(|uid| !valid_uid(uid)) {
+        return bad("awaits: not a job id");
+    }
+    if awaits.clone().any(|uid| *uid == job.uid) {
+        return bad("awaits: the job itself");
+    }
+    if let Some(awaits) = &mut job.awaits {
+        awaits.sort_unstable();
+        awaits.dedup();
+    }
+    Ok(job)
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Shown {
+    pub uid: String,
+    pub status: String,
+    #[serde(default)]
+    pub done: u64,
+    #[serde(default)]
+    pub running: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+    /// Jobs that it still waits for: some of them, and how many there are.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
+    #[serde(default, skip_serializing_if = "is_zero", rename = "awaitsCount")]
+    pub awaits_count: u64,
+    /// The step that holds it back: a job that runs or waits for something else than jobs.
+    #[serde(default, skip_serializing_if = "Option::is_none", rename = "heldBy")]
+    pub held_by: Option<HeldBy>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+pub struct HeldBy {
+    pub uid: String,
+    pub lot: String,
+    pub status: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+impl Shown {
+    pub fn new(uid: &str, status: &str) -> Shown {
+        Shown {
+            uid: uid.into(),
+            status: status.into(),
+            done: 0,
+            running: 0,
+            why: None,
+            awaits: vec![],
+            awaits_count: 0,
+            held_by: None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::encode;
+
+    fn body(uid: &str) -> JobBody {
+        JobBody {
+            uid: uid.into(),
+            lot: "steady".into(),
+            owner: "red".into(),
+            shape: Shape::Array,
+            precedence: Precedence::Low,
+            parcels: 3,
+            cpus: 1.0,
+            cards: 0.0,
+            mem_gb: 2.0,
+            cargo: "img".into(),
+            pull_gb: 1.0,
+            berths: None,
+            yard: None,
+            together: false,
+            spread: false,
+            loaners: true,
+            expected_s: 20.0,
+            stamp_every_s: 0.0,
+            stamp_s: 0.0,
+            due_s: Some(60.0),
+            awaits: None,
+        }
+    }
+
+    type Edit = fn(&mut JobBody);
+
+    #[test]
+    fn malformed_submissions() {
+        let cases: [(&str, Edit); 13] = [
+            ("awaits", |b| b.awaits = Some(vec!["wk-2".into(), "job-3".into()])),
+            ("awaits", |b| b.awaits = Some(vec!["wk-1".into()])),
+            ("awaits", |b| b.awaits = Some(vec![String::new()])),
+            ("uid", |b| b.uid = "job-1".into()),
+            ("uid", |b| b.uid = "wk-1/2".into()),
+            ("uid", |b| b.uid = "wk-".into()),
+            ("parcels", |b| b.parcels = 0),
+            ("parcels", |b| b.parcels = 100_001),
+            ("cpus", |b| b.cpus = -1.0),
+            ("memGb", |b| b.mem_gb = f64::NAN),
+            ("pullGb", |b| b.pull_gb = f64::INFINITY),
+            ("dueS", |b| b.due_s = Some(-5.0)),
+            ("owner", |b| b.owner.clear()),
+        ];
+        for (field, edit) in cases {
+            let mut b = body("wk-1");
+            edit(&mut b);
+            let error = parse(&encode(&b)).expect_err(field).to_string();
+            assert!(error.contains(field), "{field}: {error}");
+        }
+        assert!(parse(&encode(&body("wk-1"))).is_ok());
+        assert!(parse(b"\x93\x01\x02\x03").is_err() && parse(b"").is_err());
+        assert!(parse(&encode(&"text")).is_err());
+        // An empty list is as good as none, and a name counts once.
+        let lists: [(Option<Vec<String>>, Option<usize>); 3] = [
+            (None, None),
+            (Some(vec![]), Some(0)),
+            (Some(vec!["wk-9".into(), "wk-3".into(), "wk-9".into()]), Some(2)),
+        ];
+        for (list, left) in lists {
+            let b = JobBody { awaits: list, ..body("wk-1") };
+            assert_eq!(parse(&encode(&b)).expect("valid").awaits.map(|a| a.len()), left);
+        }
+        // A list in field order would decode as the struct, but the protocol wants a map.
+        assert!(parse(&rmp_serde::to_vec(&body("wk-1")).unwrap()).is_err());
+    }
+}
