--- a/crates/controller/src/cloud.rs
+++ b/crates/controller/src/cloud.rs
@@ -3,11 +3,11 @@
 use crate::http::{CallError, Client};
 use crate::node::Node;
 use crate::store::Outcome;
-use copperhaven_core::names::*;
 use copperhaven_core::pace::Pace;
 use copperhaven_core::records::{
     Change, Cond, LEADER, PROVIDED, ProvidedRecord, Record, RentalRecord,
 };
+use copperhaven_core::state::names::*;
 use copperhaven_wire::cloud::{Host, WireFlavor};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -105,7 +105,7 @@
     let now = node.now();
     let (machines, stamp) = node.with_cell(term, |c, _| {
         c.listed(&hosts, now);
-        (c.provided(&hosts), c.leader.stamp)
+        (c.provided(&hosts), c.ledger.leader.stamp)
     })?;
     let when = [Cond { path: LEADER.into(), stamp }, Cond { path: PROVIDED.into(), stamp: 0 }];
     let v = Record::Provided(ProvidedRecord { machines });
--- a/crates/controller/src/leadership.rs
+++ b/crates/controller/src/leadership.rs
@@ -4,10 +4,10 @@
 use crate::node::Node;
 use crate::store::{Outcome, StoreError};
 use copperhaven_core::caution::Caution;
-use copperhaven_core::cell::Cell;
 use copperhaven_core::records::*;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::machine::Direct;
 use copperhaven_core::takeover::{Records, rebuild};
-use copperhaven_core::workers::Direct;
 use copperhaven_wire::workers::{Orders, Report};
 use serde::de::IgnoredAny;
 use std::sync::Arc;
@@ -267,7 +267,7 @@
         let spare = (tokens as usize).saturating_sub(reserve);
         let ops = (tokens as usize).min(caution.ops);
         // The others go several at a time: transactions cost processor time.
-        let users = node.with_cell(term, |c, _| c.users_wait());
+        let users = node.with_cell(term, |c, _| c.ledger.users_wait());
         if users == Some(false) && spare < 4 {
             sleep(ms(20)).await;
             continue;
@@ -276,7 +276,7 @@
         let batch = node.with_cell(term, |c, _| c.batch_with_reserve(ops, reserve));
         let Some(batch) = batch else { return "superseded" };
         let Some(batch) = batch else {
-            let more = node.with_cell(term, |c, _| c.dirty.len() > c.held_back.len());
+            let more = node.with_cell(term, |c, _| c.ledger.unwritten() > c.ledger.held_back());
             if more == Some(true) {
                 sleep(ms(20)).await;
                 continue;
@@ -290,8 +290,8 @@
         let begin = tokio::time::Instant::now();
         let outcome = node.store.commit(&batch.when, &batch.apply).await;
         node.with_cell(term, |c, _| {
-            c.commits.writes += batch.apply.len() as u64;
-            c.commits.micros.saturating_record(begin.elapsed().as_micros() as u64);
+            c.ledger.commits.writes += batch.apply.len() as u64;
+            c.ledger.commits.micros.saturating_record(begin.elapsed().as_micros() as u64);
         });
         match outcome {
             Outcome::Applied(rev) => {
@@ -299,7 +299,7 @@
                 let now = node.now();
                 node.with_cell(term, |c, _| {
                     c.applied(&batch, rev);
-                    c.alone = caution.alone > 0;
+                    c.ledger.alone = caution.alone > 0;
                     c.follow(now);
                 });
                 node.bump();
@@ -329,7 +329,7 @@
                 node.with_cell(term, |c, _| {
                     let sole = c.malformed(&batch);
                     caution.malformed(&batch, sole);
-                    c.alone = caution.alone > 0;
+                    c.ledger.alone = caution.alone > 0;
                 });
                 node.bump();
                 sleep(ms(100)).await;
@@ -337,7 +337,7 @@
             Outcome::TooMany => {
                 tracing::warn!("the state service refuses {} changes: too many", batch.apply.len());
                 caution.pace = (caution.pace * 0.8).max(0.2);
-                node.with_cell(term, |c, _| c.commits.too_many += 1);
+                node.with_cell(term, |c, _| c.ledger.commits.too_many += 1);
                 sleep(ms(250)).await;
             }
             Outcome::Refused => sleep(ms(150)).await,
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -2,10 +2,10 @@
 //! They are gathered when asked for, so that nobody pays for them in between.
 
 use crate::node::Node;
-use copperhaven_core::admission::{ln_meet, nu};
-use copperhaven_core::jobs::Job;
-use copperhaven_core::names::TypeId;
-use copperhaven_core::workers::Machine;
+use copperhaven_core::admission::index::{ln_meet, nu};
+use copperhaven_core::state::job::Job;
+use copperhaven_core::state::machine::Machine;
+use copperhaven_core::state::names::{TeamId, TypeId};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -127,18 +127,21 @@
             }
         }
         for (t, team) in c.settings.deployment.teams.iter().enumerate() {
-            usage.get_or_create(&vec![("team", team.name.clone())]).set(c.usage[t].cpus);
+            usage
+                .get_or_create(&vec![("team", team.name.clone())])
+                .set(c.teams.usage(TeamId::from(t)).cpus);
         }
-        dirty.get_or_create(&none).set(c.dirty.len() as f64);
-        writes.get_or_create(&none).set(c.commits.writes as f64);
-        held.get_or_create(&none).set(c.held_back.len() as f64);
-        for (why, n) in
-            [("too large", c.commits.too_large), ("too many changes", c.commits.too_many)]
-        {
+        dirty.get_or_create(&none).set(c.ledger.unwritten() as f64);
+        writes.get_or_create(&none).set(c.ledger.commits.writes as f64);
+        held.get_or_create(&none).set(c.ledger.held_back() as f64);
+        for (why, n) in [
+            ("too large", c.ledger.commits.too_large),
+            ("too many changes", c.ledger.commits.too_many),
+        ] {
             writes_refused.get_or_create(&vec![("why", why.into())]).set(n as f64);
         }
         for (name, q) in [("0.5", 0.5), ("0.99", 0.99), ("1", 1.0)] {
-            let s = c.commits.micros.value_at_quantile(q) as f64 / 1e6;
+            let s = c.ledger.commits.micros.value_at_quantile(q) as f64 / 1e6;
             latency.get_or_create(&vec![("quantile", name.into())]).set(s);
         }
     });
--- a/crates/controller/src/node.rs
+++ b/crates/controller/src/node.rs
@@ -4,15 +4,16 @@
 use crate::cluster::{Cluster, Op, PeerView};
 use crate::http::Client;
 use crate::store::{Store, StoreError};
-use copperhaven_core::cell::{Cell, shown_final};
-use copperhaven_core::fleet::Flavor;
-use copperhaven_core::jobs::admit_shape;
-use copperhaven_core::names::Names;
+use copperhaven_core::admission::shape::admit_shape;
 use copperhaven_core::pace::Pace;
-use copperhaven_core::pipelines::{Awaits, Named};
+use copperhaven_core::pipelines::awaits::{Awaits, Named};
+use copperhaven_core::questions::shown_final;
 use copperhaven_core::records::{FinalRecord, JobRecord};
 use copperhaven_core::settings::{Member, Settings};
-use copperhaven_core::workers::Taken;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::fleet::Flavor;
+use copperhaven_core::state::names::Names;
+use copperhaven_core::workers::reports::Taken;
 use copperhaven_wire::cloud::WireFlavor;
 use copperhaven_wire::encode;
 use copperhaven_wire::jobs::{self, Shown};
@@ -451,11 +452,7 @@
     /// What is known of a job in memory.
     fn known(&self, term: u64, uid: &str) -> Option<Option<Shown>> {
         self.with_cell(term, |c, _| {
-            if c.by_uid.contains_key(uid) || c.finals.contains_key(uid) {
-                Some(c.show(uid))
-            } else {
-                None
-            }
+            if c.jobs.has(uid) || c.finals.has(uid) { Some(c.show(uid)) } else { None }
         })
         .flatten()
     }
@@ -470,7 +467,7 @@
         }
         match self.store.get::<FinalRecord>(&format!("f/{uid}")).await {
             Ok(Some((record, _))) => {
-                self.with_cell(term, |c, _| c.remember_final(uid.into(), record.clone()));
+                self.with_cell(term, |c, _| c.finals.remember(uid.into(), record.clone()));
                 Ok(Some(record))
             }
             Ok(None) => Ok(None),
@@ -583,7 +580,7 @@
             }
             // Kept apart from the rest, however long the list is.
             let awaits = job.awaits.take().unwrap_or_default();
-            if c.empty_record_bytes(&job) + 64 > c.value_limit {
+            if c.empty_record_bytes(&job) + 64 > c.ledger.value_limit {
                 return Err(Reply::error(400, "malformed: names too long to be recorded"));
             }
             let (open, dead) = match c.look_at_awaits(&awaits, read) {
@@ -758,7 +755,7 @@
         }
         let now = self.now();
         let done = self.with_cell(term, |c, lead| {
-            if lead && let Some(id) = c.by_uid.get(uid).copied() {
+            if lead && let Some(id) = c.jobs.id(uid) {
                 c.cancel(id, now);
             }
             lead
@@ -874,7 +871,7 @@
         // it was counted as part of the job's own record.
         let node = Node::new(copperhaven_core::for_tests::sample());
         let mut cell = copperhaven_core::for_tests::cell();
-        cell.value_limit = 2048;
+        cell.ledger.value_limit = 2048;
         let term = cell.term;
         let uids: Vec<String> = (2000..3000).map(|n| format!("wk-{n}")).collect();
         for uid in &uids {
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission/index.rs
@@ -5,10 +5,9 @@
 //! ν = 1 − μ/(μ+θ)·(mμ/(mμ+θ))^max(j,0). The code keeps ln(1−ν): a huge queue rounds ν to 1,
 //! but not its logarithm, so that order and `ν < 1` survive.
 
-use crate::cell::Cell;
-use crate::jobs::{EPS, Spec};
-use crate::names::*;
-use std::collections::HashMap;
+use crate::state::cell::Cell;
+use crate::state::job::{EPS, Spec};
+use crate::state::names::*;
 
 /// ln(1−ν); minus infinity where ν is 1. The lowest ν has the highest value.
 pub fn ln_meet(m: f64, x: f64, mu: f64, theta: f64) -> f64 {
@@ -42,41 +41,6 @@
     }
 }
 
-/// Mean run times of finished tasks, by pool and class. Only tasks that ended as `done` count, so
-/// a machine that fails its tasks fast does not look quick.
-#[derive(Debug)]
-pub struct Rates {
-    window: f64,
-    by_pool: Vec<HashMap<ClassId, (f64, f64)>>,
-    by_class: HashMap<ClassId, (f64, f64)>,
-}
-
-impl Rates {
-    pub fn new(pools: usize, window: f64) -> Rates {
-        Rates { window, by_pool: vec![HashMap::new(); pools], by_class: HashMap::new() }
-    }
-
-    pub fn finished(&mut self, pool: usize, class: ClassId, seconds: f64) {
-        let window = self.window;
-        let fold = |slot: &mut (f64, f64)| {
-            slot.0 = (slot.0 + 1.0).min(window);
-            slot.1 += (seconds - slot.1) / slot.0;
-        };
-        if let Some(p) = self.by_pool.get_mut(pool) {
-            fold(p.entry(class).or_default());
-        }
-        fold(self.by_class.entry(class).or_default());
-    }
-
-    /// Mean run time of the class in this pool, else anywhere, else the job's own estimate.
-    pub fn run_s(&self, pool: usize, class: ClassId, estimate: f64) -> f64 {
-        let pool = self.by_pool.get(pool).and_then(|p| p.get(&class));
-        let mean = pool.or_else(|| self.by_class.get(&class)).map(|(_, mean)| *mean);
-        let s = mean.unwrap_or(estimate);
-        if s > 0.0 { s.max(0.1) } else { 60.0 }
-    }
-}
-
 /// A pool as an arriving job sees it, in units of the job's task.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolView {
@@ -153,7 +117,7 @@
                 machines[self.pool(b.zone, b.kind)] += 1.0;
             }
         }
-        for (_, id) in &self.order {
+        for (_, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
             for (p, n) in job.routed.iter().enumerate() {
                 if *n > 0 {
@@ -212,6 +176,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::state::rates::Rates;
 
     /// The miss probability by numerical integration, independent of the closed form: the wait
     /// is Erlang(j, mμ), the run exponential, the deadline exponential. P(meet) is
--- /dev/null
+++ b/crates/core/src/admission/mod.rs
@@ -0,0 +1,4 @@
+//! Whether a submission can run at all (`shape`), and whether and where it should (`index`).
+
+pub mod index;
+pub mod shape;
--- a/crates/core/src/caution.rs
+++ b/crates/core/src/caution.rs
@@ -1,6 +1,6 @@
 //! What refused transactions teach a leader of the state service's limits.
 
-use crate::cell::Batch;
+use crate::state::ledger::Batch;
 
 /// What refused transactions teach: the state service may take less than the settings say.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/core/src/fleet/demand.rs
@@ -0,0 +1,201 @@
+//! What to rent for the work that waits.
+
+use crate::placement::order::Ranked;
+use crate::placement::slots::Slot;
+use crate::state::cell::Cell;
+use crate::state::fleet::{Kind, LATE};
+use crate::state::job::{EPS, Spec};
+use crate::state::machine::Seen;
+use crate::state::names::*;
+use crate::state::teams::{Split, Usage};
+use copperhaven_wire::jobs::Shape;
+use std::collections::{BTreeMap, HashSet};
+
+impl Cell {
+    /// How many tasks of the job should run at once to be in time: all of them where a deadline
+    /// or guarantee presses, fewer where the class's objective leaves time for more than one
+    /// round.
+    fn wanted(&self, spec: &Spec, waiting: u32, guaranteed: bool) -> u32 {
+        if spec.shape != Shape::Array || guaranteed || spec.deadline_s.is_some() {
+            return waiting;
+        }
+        let class = self.names.classes.name(spec.class.ix());
+        let span = self
+            .settings
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| o.class.as_deref() == Some(class))
+            .filter_map(|o| o.within_s)
+            .fold(self.settings.tuning.default_span_s, f64::min);
+        let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
+        let rounds = (span * 0.5 / run).floor().clamp(1.0, 8.0);
+        (f64::from(waiting) / rounds).ceil() as u32
+    }
+
+    /// Guests take what is left: as long as their work may still be in time no dear machine is
+    /// rented for it, if a cheap one will do.
+    fn spares(&self, spec: &Spec, born: i64, now: u64) -> bool {
+        let waited = (now as i64 - born) as f64 / 1000.0;
+        let guest = self.settings.deployment.teams[spec.team.ix()].is_guest();
+        guest && spec.spot && waited * self.theta(spec) < 1.0
+    }
+
+    /// What to rent now: the work that waits is laid onto free and booting machines in the order
+    /// in which it is served; what finds no place is given the cheapest machines that fit it.
+    pub fn demand(&self, now: u64) -> Vec<(Kind, u32)> {
+        self.demand_and_kept(now).0
+    }
+
+    /// The same, and the machines on which jobs that are soon ready were laid.
+    pub(crate) fn demand_and_kept(&self, now: u64) -> (Vec<(Kind, u32)>, HashSet<MachineId>) {
+        let mut kept = HashSet::new();
+        let mut slots: Vec<Slot> = self.slots(now);
+        for s in &mut slots {
+            // A machine held for a job gets free for it once the tasks there have stopped.
+            if s.reserved.is_some() {
+                let f = &self.flavors[s.kind.ix()];
+                (s.cpus, s.cards, s.mem_gb) = (f.cpus, f.cards, f.mem_gb);
+            }
+        }
+        let fresh = |(kind, zone, spot): Kind, mid: u32| {
+            let f = &self.flavors[kind.ix()];
+            Slot {
+                mid: MachineId(mid),
+                kind,
+                zone,
+                spot,
+                cpus: f.cpus,
+                cards: f.cards,
+                mem_gb: f.mem_gb,
+                images: vec![],
+                record: usize::MAX,
+                reserved: None,
+            }
+        };
+        // A place that a running task is about to leave comes sooner than a machine that boots.
+        let boot = self.flavors.iter().map(|f| f.boot_s).fold(f64::MAX, f64::min);
+        for s in &mut slots {
+            let Some(m) = self.machines.get(&s.mid).filter(|_| s.reserved.is_none()) else {
+                continue;
+            };
+            for ((id, _), e) in &m.entries {
+                let Some(job) = self.jobs.get(id) else { continue };
+                let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
+                let ran = now.saturating_sub(e.running_at) as f64 / 1000.0;
+                let running = e.seen == Seen::Running && job.spec.shape != Shape::Service;
+                if e.stop.is_some() || (running && run - ran < boot) {
+                    s.take_back(&job.spec);
+                }
+            }
+        }
+        let dark = self.dark_zones();
+        let (_, late) = self.overdue(now);
+        for b in self.coming(now).into_iter().filter(|b| !dark[b.zone.ix()]) {
+            slots.push(fresh((b.kind, b.zone, b.spot), u32::MAX));
+        }
+        for r in self.fleet.rentals.values().filter(|r| !r.resolved) {
+            for _ in 0..r.number {
+                slots.push(fresh(r.what, u32::MAX));
+            }
+        }
+        let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
+        // By priority: a team's lower work makes way for its higher.
+        let split = |s: &Split| -> [Usage; 4] { std::array::from_fn(|p| s.at(p)) };
+        let mut used: Vec<[Usage; 4]> = self.teams.splits().map(split).collect();
+        // Then those that are ready by the time a machine rented now is up.
+        let soon: Vec<Ranked> = self
+            .soon_ready(boot * 0.5, now)
+            .into_iter()
+            .map(|id| Ranked { id, guaranteed: false })
+            .collect();
+        for r in self.ranked(now).into_iter().chain(soon) {
+            let Some(job) = self.jobs.get(&r.id) else { continue };
+            let spec = &job.spec;
+            let early = !job.awaits.is_empty();
+            if job.waiting.is_empty() || now < job.retry_at {
+                continue;
+            }
+            let team = &self.settings.deployment.teams[spec.team.ix()];
+            let room = |max: f64, used: f64, need: f64| {
+                if need <= 0.0 { 1e6 } else { ((max - used + EPS) / need).floor().max(0.0) }
+            };
+            let above = &mut used[spec.team.ix()][..=spec.precedence as usize];
+            let cpus = above.iter().map(|u| u.cpus).sum();
+            let cards = above.iter().map(|u| u.cards).sum();
+            let quota =
+                room(team.cpus_max, cpus, spec.cpus).min(room(team.gpus_max, cards, spec.cards))
+                    as u32;
+            let failing = job.is_failing() && spec.shape != Shape::Gang;
+            if failing && !job.onto.is_empty() {
+                continue;
+            }
+            let waiting = if failing { 1 } else { job.waiting.len() as u32 };
+            let mut n = self.wanted(spec, waiting, r.guaranteed).min(quota);
+            if spec.shape == Shape::Gang && n < waiting {
+                continue;
+            }
+            let u = &mut above[spec.precedence as usize];
+            u.cpus += spec.cpus * f64::from(n);
+            u.cards += spec.cards * f64::from(n);
+            let tight = |s: &Slot| (s.cpus * 1000.0) as i64;
+            let mut order: Vec<usize> = (0..slots.len())
+                .filter(|i| slots[*i].reserved.is_none_or(|x| x == r.id))
+                .filter(|i| slots[*i].allowed(spec) && slots[*i].fits(spec) > 0)
+                .collect();
+            order.sort_by_key(|i| (slots[*i].reserved.is_none(), tight(&slots[*i])));
+            for i in order {
+                let k = slots[i].fits(spec).min(n);
+                slots[i].take(spec, k);
+                n -= k;
+                if early && k > 0 {
+                    kept.insert(slots[i].mid);
+                }
+                if n == 0 {
+                    break;
+                }
+            }
+            if n == 0 {
+                continue;
+            }
+            let mut best: Option<(f64, usize, Kind, u32, u32)> = None;
+            for kind in &spec.types {
+                let f = &self.flavors[kind.ix()];
+                for zone in &f.zones {
+                    if spec.zone.is_some_and(|z| z != *zone) || dark[zone.ix()] {
+                        continue;
+                    }
+                    for spot in [true, false] {
+                        let what = (*kind, *zone, spot);
+                        if (spot && !spec.spot) || self.fleet.paused(&what, now) {
+                            continue;
+                        }
+                        if !spot && self.spares(spec, job.since, now) {
+                            continue;
+                        }
+                        let each = fresh(what, 0).fits(spec).max(1);
+                        let machines = n.div_ceil(each);
+                        let late = if late.contains(&(*kind, *zone)) { LATE } else { 1.0 };
+                        let price = f64::from(machines) * f.price(spot).max(1e-6) * late;
+                        let busy = out.get(&what).copied().unwrap_or(0) as usize;
+                        if best.is_none_or(|(p, b, ..)| (price, busy) < (p, b)) {
+                            best = Some((price, busy, what, machines, each));
+                        }
+                    }
+                }
+            }
+            if let Some((_, _, what, machines, each)) = best {
+                let machines = machines.min(50);
+                *out.entry(what).or_insert(0) += machines;
+                for _ in 0..machines {
+                    let mut s = fresh(what, u32::MAX);
+                    let k = each.min(n);
+                    s.take(spec, k);
+                    n -= k;
+                    slots.push(s);
+                }
+            }
+        }
+        (out.into_iter().collect(), kept)
+    }
+}
--- a/crates/core/src/for_tests.rs
+++ b/crates/core/src/for_tests.rs
@@ -1,12 +1,16 @@
 //! A sample leader's state and its stand-ins, for tests of this crate and of the controller.
 
-use crate::cell::{Cell, Key};
-use crate::fleet::{Flavor, WireFlavor};
-use crate::jobs::{JobBody, Precedence, Shape, admit_shape};
-use crate::names::*;
+use crate::admission::shape::admit_shape;
 use crate::records::{Change, Cond, JobRecord};
 use crate::settings::Settings;
-use crate::workers::{Order, Parcel, Report, Taken};
+use crate::state::cell::Cell;
+use crate::state::fleet::Flavor;
+use crate::state::ledger::Key;
+use crate::state::names::*;
+use crate::workers::reports::Taken;
+use copperhaven_wire::cloud::WireFlavor;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::workers::{Order, Parcel, Report};
 use std::sync::Arc;
 
 pub const TERM: u64 = 7;
@@ -43,7 +47,10 @@
     let mut out = vec![];
     let mut rev = 1000;
     while let Some(batch) = c.batch(16) {
-        assert_eq!(batch.when[0], c.leader, "every transaction is conditional on the leader key");
+        assert_eq!(
+            batch.when[0], c.ledger.leader,
+            "every transaction is conditional on the leader key"
+        );
         rev += 1;
         c.applied(&batch, rev);
         out.extend(batch.apply);
@@ -79,6 +86,15 @@
     }
 }
 
+/// A job's spec, without a job.
+pub fn spec(uid: &str, edit: fn(&mut JobBody)) -> crate::state::job::Spec {
+    let mut body = body(uid);
+    edit(&mut body);
+    let mut c = cell();
+    let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
+    admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid")
+}
+
 /// Takes a report in, places, records, and returns the orders of its response.
 pub fn exchange(c: &mut Cell, r: &Report, now: u64) -> Vec<Order> {
     let Taken::Answer(mid) = c.on_report(r, now) else { panic!("not answered") };
--- /dev/null
+++ b/crates/core/src/pipelines/awaits.rs
@@ -0,0 +1,209 @@
+//! Taking in a job that waits for others.
+
+use crate::state::cell::Cell;
+use crate::state::job::{Job, Spec, Wait};
+use crate::state::ledger::Key;
+use crate::state::names::*;
+use copperhaven_wire::jobs::{JobBody, Shape};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// What an id takes in a record at most, and a part's frame.
+const ID_BYTES: usize = 28;
+const FRAME_BYTES: usize = 24;
+
+/// So many of the jobs that one waits for are told to whoever asks, or looked at for them.
+const TOLD: usize = 20;
+
+/// What is known of a job that a submission names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Named {
+    Open,
+    Done,
+    Cancelled,
+    Service,
+    /// Being recorded: its user has not been told that it is accepted.
+    Unrecorded,
+    /// Neither open nor among the last that ended: the records have to be asked.
+    Unknown,
+    /// Surely never accepted.
+    Never,
+}
+
+/// What a job that is to wait comes to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Awaits {
+    /// Waits for these; none: nothing is missing.
+    Open(Vec<Arc<str>>),
+    /// One of them is cancelled, and so is it.
+    Cancelled,
+    /// The records have to be asked about these.
+    Ask(Vec<String>),
+    /// One of them is just being recorded.
+    Later,
+    Never(String),
+    Service(String),
+}
+
+impl Cell {
+    fn named(&self, uid: &str) -> Named {
+        let Some((id, job)) = self.job(uid) else {
+            return match self.finals.get(uid) {
+                Some(f) if f.done => Named::Done,
+                Some(_) => Named::Cancelled,
+                None => Named::Unknown,
+            };
+        };
+        let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
+        match () {
+            () if !self.accepted(id, job) => Named::Unrecorded,
+            () if job.spec.shape == Shape::Service => Named::Service,
+            () if saved(job.cancel_ver) => Named::Cancelled,
+            () if job.cancelled() => Named::Open,
+            () if saved(job.final_ver) => Named::Done,
+            () => Named::Open,
+        }
+    }
+
+    /// What becomes of a job that names these; `read` is what the records said of some.
+    pub fn look_at_awaits(&self, uids: &[String], read: &HashMap<String, Named>) -> Awaits {
+        let (mut open, mut ask, mut cancelled, mut later) = (vec![], vec![], false, false);
+        for uid in uids {
+            let known = match self.named(uid) {
+                Named::Unknown => read.get(uid).copied().unwrap_or(Named::Unknown),
+                known => known,
+            };
+            match known {
+                Named::Open => open.push(Arc::from(uid.as_str())),
+                Named::Done => {}
+                Named::Cancelled => cancelled = true,
+                Named::Service => return Awaits::Service(uid.clone()),
+                Named::Unrecorded => later = true,
+                Named::Unknown => ask.push(uid.clone()),
+                Named::Never => return Awaits::Never(uid.clone()),
+            }
+        }
+        match () {
+            () if !ask.is_empty() => Awaits::Ask(ask),
+            () if later => Awaits::Later,
+            () if cancelled => Awaits::Cancelled,
+            () => Awaits::Open(open),
+        }
+    }
+
+    /// How long the last of these jobs is expected to take yet, in seconds.
+    pub fn expected_wait(&self, on: &[Arc<str>], now: u64) -> f64 {
+        let eta = on.iter().filter_map(|uid| self.job(uid)).map(|(_, j)| j.eta).max();
+        eta.map_or(0.0, |eta| (eta - now as i64).max(0) as f64 / 1000.0)
+    }
+
+    /// Takes in a job that waits for these jobs, or for none, and has its record written; `dead`:
+    /// one that it names is cancelled.
+    pub fn take_in(
+        &mut self,
+        spec: Spec,
+        body: JobBody,
+        (open, dead): (Vec<Arc<str>>, bool),
+        at: u64,
+        now: u64,
+    ) -> JobId {
+        let id = self.insert_job(spec, body, at, now as i64);
+        self.split_links(id, &open);
+        let ver = self.touch(Key::Job(id));
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.accept_ver = ver;
+        }
+        if dead {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.derived = true;
+            }
+            self.cancel(id, now);
+        } else if !open.is_empty() {
+            self.park(id, open, now);
+            self.follow(now);
+        }
+        id
+    }
+
+    /// Splits what a new job waits for over its own record and records of their own, so that each
+    /// fits into a value.
+    fn split_links(&mut self, id: JobId, on: &[Arc<str>]) {
+        if on.is_empty() {
+            return;
+        }
+        let Some(job) = self.jobs.get(&id) else { return };
+        let room = self.ledger.value_limit.saturating_sub(self.empty_record_bytes(&job.body));
+        let rest = on.get(room / ID_BYTES..).unwrap_or(&[]);
+        let each = ((self.ledger.value_limit - FRAME_BYTES) / ID_BYTES).max(1);
+        let uid = job.spec.uid.clone();
+        let mut parts = 0;
+        for (part, list) in (0u32..).zip(rest.chunks(each)) {
+            // Left over from a submission that was never accepted.
+            self.ledger.clean(&Key::Drop(format!("a/{uid}/{part}")));
+            self.links.parts.insert((uid.clone(), part), list.to_vec());
+            self.touch(Key::Links(id, part));
+            parts = part + 1;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.parts = parts;
+        }
+    }
+
+    /// Makes a job wait for others: it is in no queue, and uses nothing.
+    pub fn park(&mut self, id: JobId, on: Vec<Arc<str>>, now: u64) {
+        let wait = (self.expected_wait(&on, now) * 1000.0) as i64;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let turn = (job.turn_at, id);
+        job.eta += (now as i64 - job.born) + wait;
+        job.awaits = on.into_iter().collect();
+        job.routed.iter_mut().for_each(|r| *r = 0);
+        job.wait = Wait::Others;
+        let (awaits, spec, due) = (job.awaits.clone(), job.spec.clone(), job.due);
+        self.queue.remove(&turn);
+        let due = due.map(|d| d - self.run_ms(id));
+        for uid in awaits {
+            self.links.needed.entry(uid.clone()).or_default().push(id);
+            match self.job(&uid) {
+                None => {
+                    self.links.unread.insert(uid.clone());
+                }
+                Some((_, job)) if job.cancelled() && self.named(&uid) == Named::Cancelled => {
+                    self.links.decide(uid.clone(), false);
+                }
+                Some((_, job)) => {
+                    let sooner = due.is_some_and(|d| job.due.is_none_or(|own| d < own));
+                    if sooner || spec.precedence < job.spec.precedence {
+                        self.links.raise.push_back((uid, spec.precedence, due));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waiting jobs that are expected to be ready within so many seconds, and so in the order in
+    /// which they are.
+    pub fn soon_ready(&self, within_s: f64, now: u64) -> Vec<JobId> {
+        let mut soon: Vec<(i64, JobId)> = vec![];
+        for (id, job) in self.jobs.iter().filter(|(_, j)| j.open() && !j.awaits.is_empty()) {
+            // The last of many is told by the first that is far away.
+            let mut ready = 0;
+            for uid in job.awaits.iter().take(TOLD) {
+                ready =
+                    ready.max(self.job(uid).map_or(i64::MAX, |(id, j)| self.over_at(id, j, now)));
+            }
+            if ready as f64 <= now as f64 + within_s * 1000.0 {
+                soon.push((ready, *id));
+            }
+        }
+        soon.sort_unstable();
+        soon.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// When a job is expected to be done, if all of its tasks have a place already.
+    fn over_at(&self, id: JobId, job: &Job, now: u64) -> i64 {
+        if !job.awaits.is_empty() || !job.waiting.is_empty() {
+            return i64::MAX;
+        }
+        now.max(job.placed_at + self.run_ms(id).max(0) as u64) as i64
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/gangs.rs
@@ -0,0 +1,137 @@
+//! Gangs: all their places at once, or none.
+
+use crate::placement::slots::Slot;
+use crate::state::cell::Cell;
+use crate::state::job::{Spec, Wait};
+use crate::state::machine::RESERVE_MS;
+use crate::state::names::*;
+use std::collections::{BTreeMap, HashMap};
+
+impl Cell {
+    pub(crate) fn place_gang(
+        &mut self,
+        id: JobId,
+        spec: &Spec,
+        slots: &mut [Slot],
+        now: u64,
+        no_place: bool,
+    ) -> Wait {
+        let job = &self.jobs[&id];
+        if !job.onto.is_empty() {
+            // A replacement joins the attempt only while the others still wait for it.
+            let places: Vec<_> = self
+                .machines
+                .values()
+                .flat_map(|m| m.entries.range((id, 0)..=(id, u32::MAX)).map(|(_, e)| e))
+                .collect();
+            if job.started || places.iter().any(|e| e.stop.is_some()) {
+                return Wait::Stopping;
+            }
+            if places.iter().any(|e| e.inherited) {
+                return Wait::Absence;
+            }
+        }
+        let need = job.waiting.len() as u32;
+        if !self.limit_within_reach(spec, need) {
+            return Wait::TeamLimit;
+        }
+        if no_place {
+            return Wait::NoRoom;
+        }
+        let order = self.candidates(id, spec, slots);
+        let Some(plan) = self.gang_plan(id, spec, slots, &order, need) else {
+            return Wait::NoRoom;
+        };
+        if self.team_room(spec) < need {
+            // The team's lower work is stopped only when there is room to gain by it, and that room
+            // is kept meanwhile; else both would be taken again at once, over and over.
+            if !self.make_team_room(id, spec, now) {
+                return Wait::TeamLimit;
+            }
+            for (i, _) in plan {
+                slots[i].reserved = Some(id);
+                if let Some(m) = self.machines.get_mut(&slots[i].mid) {
+                    m.reserved = Some((id, now + RESERVE_MS));
+                }
+            }
+            return Wait::Stopping;
+        }
+        let attempt = match self.jobs[&id].attempt {
+            a if a > 0 && !self.jobs[&id].onto.is_empty() => a,
+            _ => self.new_attempt(),
+        };
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.attempt = attempt;
+        }
+        for (i, n) in plan {
+            let tasks: Vec<u32> = self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+            let mid = slots[i].mid;
+            for task in tasks {
+                self.assign(mid, id, task, attempt, now);
+            }
+            slots[i].take(spec, n);
+            if let Some(m) = self.machines.get_mut(&mid)
+                && m.reserved.is_some_and(|(r, _)| r == id)
+            {
+                m.reserved = None;
+                slots[i].reserved = None;
+            }
+        }
+        for m in self.machines.values_mut() {
+            if m.reserved.is_some_and(|(r, _)| r == id) {
+                m.reserved = None;
+            }
+        }
+        Wait::Image
+    }
+
+    /// Where all `need` tasks fit at once: one pool if any has the room, else (unless the job
+    /// wants one zone) wherever there is room.
+    fn gang_plan(
+        &self,
+        id: JobId,
+        spec: &Spec,
+        slots: &[Slot],
+        order: &[usize],
+        need: u32,
+    ) -> Option<Vec<(usize, u32)>> {
+        let mut groups: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let mut zones: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+        let mut first: Vec<usize> = vec![];
+        for i in order {
+            let pool = self.pool(slots[*i].zone, slots[*i].kind);
+            if !groups.contains_key(&pool) {
+                first.push(pool);
+            }
+            groups.entry(pool).or_default().push(*i);
+            zones.entry(slots[*i].zone.ix()).or_default().push(*i);
+        }
+        let mut tries: Vec<&[usize]> = first.iter().map(|p| groups[p].as_slice()).collect();
+        tries.extend(zones.values().map(|v| v.as_slice()));
+        if !spec.one_zone {
+            tries.push(order);
+        }
+        for try_order in tries {
+            let mut left = need;
+            let mut plan = vec![];
+            let mut by_zone: HashMap<ZoneId, u32> = HashMap::new();
+            for i in try_order {
+                let zone = slots[*i].zone;
+                let used = by_zone.entry(zone).or_insert(0);
+                let n = slots[*i]
+                    .fits(spec)
+                    .min(left)
+                    .min(self.zone_room(id, zone).saturating_sub(*used));
+                if n > 0 {
+                    plan.push((*i, n));
+                    *used += n;
+                    left -= n;
+                }
+                if left == 0 {
+                    return Some(plan);
+                }
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/pass.rs
@@ -0,0 +1,158 @@
+//! Placement passes: every waiting task that can be placed is put on a machine's list.
+
+use crate::placement::order::Ranked;
+use crate::state::cell::Cell;
+use crate::state::cell::PASS_MS;
+use crate::state::job::{Spec, Wait};
+use crate::state::ledger::Key;
+use crate::state::names::*;
+use copperhaven_wire::jobs::Shape;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+const MOST_PASS_MS: u64 = 1000;
+
+/// A job that found nobody to stop looks again after this long.
+const LOOK_MS: u64 = 1000;
+
+/// What one pass has found out: with these demands there is no place, and nobody to stop. Places
+/// only get fewer within a pass, so whoever needs at least as much need not look.
+#[derive(Default)]
+pub(super) struct Full {
+    pub(super) no_place: Vec<Arc<Spec>>,
+    pub(super) no_victims: Vec<(Ranked, Arc<Spec>, u32)>,
+}
+
+impl Full {
+    /// Does `b` need at least what `a` needs, of machines that `a` may use as well?
+    pub(super) fn covers(a: &Spec, b: &Spec) -> bool {
+        a.cpus <= b.cpus
+            && a.cards <= b.cards
+            && a.mem_gb <= b.mem_gb
+            && (a.spot || !b.spot)
+            && (a.zone.is_none() || a.zone == b.zone)
+            && b.types.iter().all(|t| a.types.contains(t))
+    }
+
+    pub(crate) fn has_no_place(&self, spec: &Spec) -> bool {
+        self.no_place.iter().any(|a| Self::covers(a, spec))
+    }
+
+    pub(crate) fn none_to_stop(&self, r: Ranked, spec: &Spec, need: u32) -> bool {
+        self.no_victims.iter().any(|(other, a, least)| {
+            let gang = |s: &Spec| s.shape == Shape::Gang;
+            Self::covers(a, spec)
+                && a.precedence <= spec.precedence
+                // An array takes what it gets; a gang found too little for all of it.
+                && (!gang(a) || (gang(spec) && *least <= need))
+                && (!r.guaranteed || (other.guaranteed && a.team == spec.team))
+        })
+    }
+}
+
+impl Cell {
+    /// How long until the next pass is due, if there is anything to place.
+    pub fn pass_pause(&self, now: u64) -> Option<u64> {
+        self.stir.then(|| (self.passed + self.pass_gap).saturating_sub(now))
+    }
+
+    /// A pass took so long: with much that waits, or little processor, passes are further apart, so
+    /// that they never take more than a quarter of the time.
+    pub fn pass_took(&mut self, ms: u64) {
+        self.pass_gap = (ms * 4).clamp(PASS_MS, MOST_PASS_MS);
+    }
+
+    /// One pass: every waiting task that can be placed is put on a machine's list.
+    pub fn place(&mut self, now: u64) {
+        self.stir = false;
+        self.passed = now;
+        self.teams.release_held();
+        let ranked = self.ranked(now);
+        let mut slots = self.slots(now);
+        let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
+        let mut full = Full::default();
+        for r in &ranked {
+            let Some(job) = self.jobs.get(&r.id) else { continue };
+            if job.waiting.is_empty() {
+                continue;
+            }
+            let safe = job.accept_ver.max(job.start_ver);
+            if !self.is_saved(&Key::Job(r.id), safe) {
+                continue;
+            }
+            if now < job.retry_at {
+                continue;
+            }
+            if job.is_failing() && job.spec.shape != Shape::Gang && !job.onto.is_empty() {
+                continue;
+            }
+            let spec = job.spec.clone();
+            let need = job.waiting.len() as u32;
+            let plain = job.failed_on.is_empty()
+                && !spec.one_zone
+                && !spec.spread
+                && slots.iter().all(|s| s.reserved != Some(r.id));
+            let skip = plain && full.has_no_place(&spec);
+            let wait = match spec.shape {
+                _ if skip && self.team_room(&spec) == 0 => Wait::TeamLimit,
+                Shape::Gang => self.place_gang(r.id, &spec, &mut slots, now, skip),
+                _ if skip => Wait::NoRoom,
+                _ => self.place_single(r.id, &spec, &mut slots, now),
+            };
+            if wait == Wait::NoRoom && plain && !skip && !slots.iter().any(|s| s.open_to(&spec)) {
+                full.no_place.push(spec.clone());
+            }
+            let Some(job) = self.jobs.get_mut(&r.id) else { continue };
+            job.wait = wait;
+            if wait == Wait::TeamLimit {
+                // As below: looking through all that runs is dear.
+                let futile = now < job.look_at || !self.lower_work(&spec);
+                if spec.shape != Shape::Gang && !futile && slots.iter().any(|s| s.open_to(&spec)) {
+                    let found = self.make_team_room(r.id, &spec, now);
+                    if let Some(job) = self.jobs.get_mut(&r.id) {
+                        if found {
+                            job.wait = Wait::Stopping;
+                        } else {
+                            job.look_at = now + LOOK_MS;
+                        }
+                    }
+                }
+                continue;
+            }
+            if wait == Wait::NoRoom {
+                if job.ready_at == 0 {
+                    job.ready_at = now;
+                }
+                // Looking through all that runs is dear: a search that came to nothing is not
+                // repeated within a second, nor in this pass for those who could stop no more.
+                let kept = slots.iter().any(|s| s.reserved == Some(r.id));
+                let futile = now < job.look_at || (plain && full.none_to_stop(*r, &spec, need));
+                let found = if futile {
+                    kept
+                } else {
+                    let found = self.make_room(*r, &spec, &mut slots, &within, now);
+                    if !found {
+                        if let Some(job) = self.jobs.get_mut(&r.id) {
+                            job.look_at = now + LOOK_MS;
+                        }
+                        if plain && (spec.shape != Shape::Array || self.array_may_preempt(*r, now))
+                        {
+                            full.no_victims.push((*r, spec.clone(), need));
+                        }
+                    }
+                    found
+                };
+                if found {
+                    if spec.shape != Shape::Array {
+                        self.hold_limit(r.id, &spec);
+                    }
+                    if let Some(job) = self.jobs.get_mut(&r.id) {
+                        job.wait = Wait::Stopping;
+                    }
+                }
+            } else if let Some(job) = self.jobs.get_mut(&r.id) {
+                job.ready_at = 0;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/preempt.rs
@@ -0,0 +1,221 @@
+//! Who has to make room for whom.
+
+use crate::placement::order::Ranked;
+use crate::placement::slots::Slot;
+use crate::state::cell::Cell;
+use crate::state::job::Spec;
+use crate::state::machine::{RESERVE_MS, Seen};
+use crate::state::names::*;
+use copperhaven_wire::jobs::Shape;
+use std::collections::HashMap;
+
+/// What is lost, how many tasks then fit, and who has to go.
+type Victims = (f64, u32, Vec<(JobId, u32)>);
+
+impl Cell {
+    /// Stops tasks to make room: those of lower priority; and, for a job within its team's
+    /// guarantee, what another team runs beyond its own. The machine is kept for the job until
+    /// they have left. Returns whether the job now waits for tasks that are being stopped.
+    pub(crate) fn make_room(
+        &mut self,
+        r: Ranked,
+        spec: &Spec,
+        slots: &mut [Slot],
+        within: &HashMap<JobId, bool>,
+        now: u64,
+    ) -> bool {
+        // Until then an array within its guarantee stops guests only.
+        let patient = spec.shape == Shape::Array && !self.array_may_preempt(r, now);
+        if patient && !(r.guaranteed && self.guests_run()) {
+            return false;
+        }
+        let Some(job) = self.jobs.get(&r.id) else { return false };
+        let mut need = job.waiting.len() as u32;
+        if spec.shape != Shape::Gang {
+            need = need.min(self.team_room(spec)).min(32);
+        }
+        let held: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.reserved.is_some_and(|(id, until)| id == r.id && now < until))
+            .map(|(mid, _)| *mid)
+            .collect();
+        // What the machines already held for it will give once they are free.
+        for mid in &held {
+            let m = &self.machines[mid];
+            let mut free = Slot {
+                mid: *mid,
+                kind: m.kind,
+                zone: m.zone,
+                spot: m.spot,
+                cpus: m.cpus - m.used_cpus,
+                cards: m.cards - m.used_cards,
+                mem_gb: m.mem_gb - m.used_mem,
+                images: vec![],
+                record: usize::MAX,
+                reserved: None,
+            };
+            for ((v, _), e) in &m.entries {
+                if let (Some(v), Some(_)) = (self.jobs.get(v), e.stop) {
+                    free.cpus += v.spec.cpus;
+                    free.cards += v.spec.cards;
+                    free.mem_gb += v.spec.mem_gb;
+                }
+            }
+            need = need.saturating_sub(free.fits(spec));
+        }
+        if need == 0 {
+            return !held.is_empty();
+        }
+        let mut plans = Vec::new();
+        for (i, s) in slots.iter().enumerate() {
+            let taken = s.reserved.is_some() || held.contains(&s.mid);
+            let barred = job.failed_on.contains_key(&s.mid) || self.zone_room(r.id, s.zone) == 0;
+            if taken || barred || !s.allowed(spec) {
+                continue;
+            }
+            if let Some((cost, n, victims)) = self.victims((r, patient), spec, s, within, need, now)
+            {
+                let image = if s.images.contains(&spec.image) { 0.0 } else { spec.image_gb * 50.0 };
+                plans.push(((cost + image) / f64::from(n), i, n, victims));
+            }
+        }
+        plans.sort_by(|a, b| a.0.total_cmp(&b.0));
+        if spec.one_zone {
+            let zone = plans.first().map(|p| slots[p.1].zone);
+            plans.retain(|p| Some(slots[p.1].zone) == zone);
+        }
+        let total: u32 = plans.iter().map(|p| p.2).sum();
+        if spec.shape == Shape::Gang && total < need {
+            return !held.is_empty();
+        }
+        let mut any = !held.is_empty();
+        for (_, i, n, victims) in plans {
+            if need == 0 {
+                break;
+            }
+            need = need.saturating_sub(n);
+            any = true;
+            let mid = slots[i].mid;
+            // A gang needs all its places at once, so they are kept for it. An array's tasks come
+            // one by one: served first anyway, it needs no machine to itself.
+            let keep = spec.shape != Shape::Array;
+            if keep {
+                slots[i].reserved = Some(r.id);
+            }
+            if let Some(m) = self.machines.get_mut(&mid) {
+                if keep {
+                    m.reserved = Some((r.id, now + RESERVE_MS));
+                }
+                let (name, count) = (m.name.clone(), victims.len());
+                if count > 0 {
+                    let why = if spec.shape == Shape::Array { "guarantee" } else { "priority" };
+                    tracing::info!("preempt {count} tasks on {name} for {} ({why})", spec.uid);
+                }
+            }
+            for (vid, task) in victims {
+                let Some(v) = self.jobs.get_mut(&vid) else { continue };
+                v.preempted += 1;
+                let grace = if v.spec.checkpoint_s > 0.0 { v.spec.save_s + 1.0 } else { 0.0 };
+                if v.spec.shape == Shape::Gang {
+                    self.stop_all(vid, now, grace);
+                } else {
+                    self.stop_task(mid, vid, task, now, grace);
+                }
+            }
+        }
+        any
+    }
+
+    /// Does any team without a guarantee have work on machines?
+    fn guests_run(&self) -> bool {
+        let teams = &self.settings.deployment.teams;
+        teams
+            .iter()
+            .zip(self.teams.usages())
+            .any(|(t, u)| t.is_guest() && (u.cpus > 0.0 || u.cards > 0.0))
+    }
+
+    /// An array within its guarantee may preempt once it has waited a third of what the
+    /// guarantee's objective allows.
+    pub(crate) fn array_may_preempt(&self, r: Ranked, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&r.id) else { return false };
+        let span = self
+            .settings
+            .deployment
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .filter_map(|o| o.within_s)
+            .fold(60.0, f64::min);
+        r.guaranteed && job.ready_at > 0 && now > job.ready_at + (span * 333.0) as u64
+    }
+
+    /// The cheapest tasks to stop on one machine so that tasks of `spec` fit there; cost counts
+    /// the work lost, in CPU seconds.
+    fn victims(
+        &self,
+        (r, patient): (Ranked, bool),
+        spec: &Spec,
+        slot: &Slot,
+        within: &HashMap<JobId, bool>,
+        need: u32,
+        now: u64,
+    ) -> Option<Victims> {
+        let m = self.machines.get(&slot.mid)?;
+        let mut free = slot.clone();
+        let mut list: Vec<(f64, JobId, u32)> = Vec::new();
+        for ((id, task), e) in &m.entries {
+            let v = self.jobs.get(id)?;
+            if e.stop.is_some() {
+                free.take_back(&v.spec);
+                continue;
+            }
+            let guest = |s: &Spec| self.settings.deployment.teams[s.team.ix()].is_guest();
+            // Guests take what is left, and stop each other's work only.
+            let lower = v.spec.precedence > spec.precedence && (!guest(spec) || guest(&v.spec));
+            let beyond = r.guaranteed
+                && v.spec.team != spec.team
+                && !within.get(id).copied().unwrap_or(true)
+                && v.spec.precedence >= spec.precedence;
+            if !(lower || beyond) || (patient && !guest(&v.spec)) {
+                continue;
+            }
+            let ran = if e.seen == Seen::Running {
+                now.saturating_sub(e.running_at.max(self.taken)) as f64 / 1000.0
+            } else {
+                0.0
+            };
+            let lost = if v.spec.checkpoint_s > 0.0 { ran.min(v.spec.save_s) } else { ran };
+            let gang = if v.spec.shape == Shape::Gang { f64::from(v.spec.tasks) } else { 1.0 };
+            list.push(((lost + 1.0) * v.spec.cpus * gang, *id, *task));
+        }
+        let mut all = free.clone();
+        for (_, id, _) in &list {
+            all.take_back(&self.jobs.get(id)?.spec);
+        }
+        if all.fits(spec) == 0 {
+            return None;
+        }
+        list.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut cost, mut victims) = (0.0, vec![]);
+        let mut best: Option<(f64, u32, usize)> = None;
+        let mut step = |free: &Slot, cost: f64, count: usize| {
+            let n = free.fits(spec).min(need);
+            if n > 0 && best.is_none_or(|(c, b, _)| cost / f64::from(n) < c / f64::from(b)) {
+                best = Some((cost, n, count));
+            }
+        };
+        step(&free, 0.0, 0);
+        for (c, id, task) in list {
+            let Some(v) = self.jobs.get(&id) else { continue };
+            free.take_back(&v.spec);
+            cost += c;
+            victims.push((id, task));
+            step(&free, cost, victims.len());
+        }
+        let (cost, n, count) = best?;
+        victims.truncate(count);
+        Some((cost, n, victims))
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/singles.rs
@@ -0,0 +1,73 @@
+//! Tasks of arrays and replicas of services, each placed by itself.
+
+use crate::placement::slots::Slot;
+use crate::state::cell::Cell;
+use crate::state::job::{Spec, Wait};
+use crate::state::names::*;
+use copperhaven_wire::jobs::Shape;
+
+impl Cell {
+    pub(crate) fn place_single(
+        &mut self,
+        id: JobId,
+        spec: &Spec,
+        slots: &mut [Slot],
+        now: u64,
+    ) -> Wait {
+        let mut order = self.candidates(id, spec, slots);
+        if spec.shape == Shape::Service {
+            // Replicas go where the job has fewest.
+            let job = &self.jobs[&id];
+            order.sort_by_key(|i| job.in_zone[slots[*i].zone.ix()]);
+        }
+        let mut placed = false;
+        for i in order {
+            loop {
+                let left = self.jobs.get(&id).map_or(0, |j| j.waiting.len() as u32);
+                if left == 0 {
+                    return Wait::Image;
+                }
+                let quota = self.team_room(spec);
+                if quota == 0 {
+                    return Wait::TeamLimit;
+                }
+                let failing = self.jobs.get(&id).is_some_and(|j| j.is_failing());
+                let most = if failing || spec.shape == Shape::Service { 1 } else { u32::MAX };
+                let n = slots[i]
+                    .fits(spec)
+                    .min(left)
+                    .min(quota)
+                    .min(self.zone_room(id, slots[i].zone))
+                    .min(most);
+                if n == 0 {
+                    break;
+                }
+                let tasks: Vec<u32> =
+                    self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+                // One attempt for all that start together keeps the machine's record short.
+                let attempt = self.new_attempt();
+                for task in tasks {
+                    self.assign(slots[i].mid, id, task, attempt, now);
+                }
+                slots[i].take(spec, n);
+                placed = true;
+                if failing {
+                    return Wait::Backoff;
+                }
+                if spec.shape == Shape::Service {
+                    break;
+                }
+            }
+        }
+        if self.jobs.get(&id).is_none_or(|j| j.waiting.is_empty()) {
+            return Wait::Image;
+        }
+        if self.team_room(spec) == 0 {
+            return Wait::TeamLimit;
+        }
+        if placed {
+            self.stir = spec.shape == Shape::Service;
+        }
+        Wait::NoRoom
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/slots.rs
@@ -0,0 +1,139 @@
+//! Machines with what is free on them, and which of them a job may use.
+
+use crate::state::book::{GROUP_BYTES, RANGE_BYTES};
+use crate::state::cell::Cell;
+use crate::state::job::{EPS, Spec};
+use crate::state::names::*;
+
+/// A machine with what is free on it.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub mid: MachineId,
+    pub kind: TypeId,
+    pub zone: ZoneId,
+    pub spot: bool,
+    pub cpus: f64,
+    pub cards: f64,
+    pub mem_gb: f64,
+    pub images: Vec<ImageId>,
+    /// Bytes that the machine's record still has for groups of tasks, each placed at once.
+    pub record: usize,
+    pub reserved: Option<JobId>,
+}
+
+impl Slot {
+    /// How many tasks of this shape fit.
+    pub fn fits(&self, spec: &Spec) -> u32 {
+        let listed = (self.record.saturating_sub(GROUP_BYTES) / RANGE_BYTES).min(256) as u32;
+        if listed == 0 {
+            return 0;
+        }
+        let part = |free: f64, need: f64| {
+            if need <= 0.0 { 256.0 } else { ((free + EPS) / need).floor().clamp(0.0, 256.0) }
+        };
+        part(self.cpus, spec.cpus)
+            .min(part(self.mem_gb, spec.mem_gb))
+            .min(part(self.cards, spec.cards))
+            .min(f64::from(listed)) as u32
+    }
+
+    pub fn take(&mut self, spec: &Spec, n: u32) {
+        if n > 0 {
+            self.record = self.record.saturating_sub(GROUP_BYTES + RANGE_BYTES * n as usize);
+        }
+        let n = f64::from(n);
+        self.cpus -= spec.cpus * n;
+        self.cards -= spec.cards * n;
+        self.mem_gb -= spec.mem_gb * n;
+    }
+
+    /// Does at least one task fit here, with nobody else's reservation in the way?
+    pub(crate) fn open_to(&self, spec: &Spec) -> bool {
+        self.reserved.is_none() && self.allowed(spec) && self.fits(spec) > 0
+    }
+
+    pub fn allowed(&self, spec: &Spec) -> bool {
+        (spec.spot || !self.spot)
+            && spec.types.contains(&self.kind)
+            && spec.zone.is_none_or(|z| z == self.zone)
+    }
+}
+
+impl Slot {
+    pub fn take_back(&mut self, spec: &Spec) {
+        self.cpus += spec.cpus;
+        self.cards += spec.cards;
+        self.mem_gb += spec.mem_gb;
+    }
+}
+
+impl Cell {
+    pub fn slots(&self, now: u64) -> Vec<Slot> {
+        let silence = self.silence();
+        self.machines
+            .iter()
+            .filter(|(_, m)| m.usable(now, silence))
+            .map(|(mid, m)| (mid, m, self.record_room(m)))
+            .filter(|(.., record)| *record >= GROUP_BYTES + RANGE_BYTES)
+            .map(|(mid, m, record)| Slot {
+                mid: *mid,
+                kind: m.kind,
+                zone: m.zone,
+                spot: m.spot,
+                cpus: m.cpus - m.used_cpus,
+                cards: m.cards - m.used_cards,
+                mem_gb: m.mem_gb - m.used_mem,
+                images: m.images.iter().map(|(i, _)| *i).collect(),
+                record,
+                reserved: m.reserved.filter(|(_, until)| now < *until).map(|(id, _)| id),
+            })
+            .collect()
+    }
+
+    /// How many more tasks of the job a zone may hold.
+    pub(crate) fn zone_room(&self, id: JobId, zone: ZoneId) -> u32 {
+        let Some(job) = self.jobs.get(&id) else { return 0 };
+        let mut room = u32::MAX;
+        if job.spec.one_zone {
+            let elsewhere = job.in_zone.iter().enumerate().any(|(z, n)| z != zone.ix() && *n > 0);
+            if elsewhere {
+                return 0;
+            }
+        }
+        if job.spec.spread {
+            let half = job.spec.tasks.div_ceil(2);
+            room = room.min(half.saturating_sub(job.in_zone[zone.ix()]));
+        }
+        room
+    }
+
+    /// The machines a job may use now, the best first: where the index routed its tasks, with its
+    /// image, spot if it may (that leaves ordinary machines to those who must have them), and
+    /// the fullest, so that whole machines stay free for gangs.
+    pub(crate) fn candidates(&self, id: JobId, spec: &Spec, slots: &[Slot]) -> Vec<usize> {
+        let Some(job) = self.jobs.get(&id) else { return vec![] };
+        let sound = self.machines.len() > job.failed_on.len();
+        let doubted = |s: &Slot| {
+            self.machines.get(&s.mid).is_some_and(|m| m.blamed > 0 || !m.accused.is_empty())
+        };
+        let mut out: Vec<(bool, bool, bool, bool, i64, i64, usize)> = slots
+            .iter()
+            .enumerate()
+            .filter(|(_, s)| s.allowed(spec) && s.reserved.is_none_or(|r| r == id))
+            .filter(|(_, s)| !(sound && job.failed_on.contains_key(&s.mid)))
+            .filter(|(_, s)| s.fits(spec) > 0)
+            .map(|(i, s)| {
+                let pool = self.pool(s.zone, s.kind);
+                let routed = job.routed.get(pool).is_some_and(|r| *r > 0);
+                let image = s.images.contains(&spec.image);
+                // The cheapest first, so that dear machines get free and can be given back.
+                let f = &self.flavors[s.kind.ix()];
+                let price = (f.price(s.spot) * self.share(spec, s.kind) * 1e6) as i64;
+                let free = (s.cpus * 1000.0) as i64;
+                (doubted(s), !image, s.reserved.is_none(), !routed, price, free, i)
+            })
+            .collect();
+        out.sort_unstable();
+        out.into_iter().map(|(.., i)| i).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/placement/tests.rs
@@ -0,0 +1,88 @@
+use super::order::Ranked;
+use super::pass::*;
+use crate::admission::shape::admit_shape;
+use crate::state::cell::PASS_MS;
+use crate::state::job::Spec;
+use crate::state::names::*;
+use copperhaven_wire::jobs::JobBody;
+use copperhaven_wire::jobs::{Precedence, Shape};
+use std::sync::Arc;
+
+fn spec(edit: fn(&mut JobBody)) -> Arc<Spec> {
+    let mut c = crate::for_tests::cell();
+    let mut body = crate::for_tests::body("wk-1");
+    edit(&mut body);
+    let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
+    Arc::new(admit_shape(&body, &mut c.names, &flavors, &settings).expect("valid"))
+}
+
+#[test]
+fn passes_are_shared_by_what_comes_in_together() {
+    // Guards the leader's processor time: with hundreds of guests' jobs waiting, a pass for
+    // each of 300 reports a second left none for the users, whose questions timed out.
+    let mut c = crate::for_tests::cell();
+    c.place(1000);
+    assert_eq!(c.pass_pause(1000), None, "nothing has changed");
+    c.stir = true;
+    for (now, pause) in [(1000, PASS_MS), (1000 + PASS_MS - 1, 1), (1000 + PASS_MS, 0)] {
+        assert_eq!(c.pass_pause(now), Some(pause), "{now}");
+    }
+    // Found on an own day of four times as many pipelines: passes over hundreds of waiting jobs
+    // left no time to renew the leader's lease.
+    for (took, gap) in [(0, 50), (12, 50), (40, 160), (5000, 1000)] {
+        c.pass_took(took);
+        assert_eq!(c.pass_pause(1000), Some(gap), "{took}");
+    }
+}
+
+#[test]
+fn a_vain_search_speaks_for_those_who_need_as_much_and_for_nobody_else() {
+    // Guards the leader's processor time: on a recorded day 120 jobs waited, each looked
+    // through all that ran at every report, and leaders lost their leases one after another.
+    // Whoever could find something must still look.
+    type Edit = fn(&mut JobBody);
+    let failed = spec(|b| (b.cpus, b.precedence) = (4.0, Precedence::Normal));
+    let full = Full { no_place: vec![failed.clone()], no_victims: vec![] };
+    let cases: [(Edit, bool); 6] = [
+        (|b| b.cpus = 4.0, true),
+        (|b| b.cpus = 5.0, true),
+        (|b| b.cpus = 3.0, false),
+        (|b| (b.cpus, b.mem_gb) = (5.0, 0.5), false),
+        (|b| (b.cpus, b.yard) = (5.0, Some("south".into())), true),
+        (|b| (b.cpus, b.loaners) = (5.0, true), true),
+    ];
+    for (i, (edit, skip)) in cases.into_iter().enumerate() {
+        assert_eq!(full.has_no_place(&spec(edit)), skip, "place {i}");
+    }
+    // What may use spot machines looks for itself after one that may not.
+    let strict = spec(|b| (b.cpus, b.loaners) = (4.0, false));
+    let full = Full { no_place: vec![strict], no_victims: vec![] };
+    assert!(!full.has_no_place(&spec(|b| (b.cpus, b.loaners) = (5.0, true))));
+
+    let ranked = |guaranteed| Ranked { id: JobId(1), guaranteed };
+    let gang = |b: &mut JobBody| {
+        (b.shape, b.parcels, b.cpus, b.precedence) = (Shape::Gang, 3, 4.0, Precedence::Normal);
+    };
+    let full = Full { no_place: vec![], no_victims: vec![(ranked(false), spec(gang), 3)] };
+    let cases: [(Edit, u32, bool, bool); 6] = [
+        (gang, 3, false, true),
+        (gang, 2, false, false),
+        (gang, 4, false, true),
+        // Within its guarantee it may stop what others run beyond theirs.
+        (gang, 3, true, false),
+        (
+            |b| {
+                (b.shape, b.parcels, b.cpus, b.precedence) =
+                    (Shape::Gang, 3, 4.0, Precedence::High);
+            },
+            3,
+            false,
+            false,
+        ),
+        (|b| (b.cpus, b.precedence) = (4.0, Precedence::Normal), 3, false, false),
+    ];
+    for (i, (edit, need, guaranteed, skip)) in cases.into_iter().enumerate() {
+        let s = spec(edit);
+        assert_eq!(full.none_to_stop(ranked(guaranteed), &s, need), skip, "victims {i}");
+    }
+}
--- /dev/null
+++ b/crates/core/src/questions.rs
@@ -0,0 +1,99 @@
+//! What users are told of a job, and why it waits.
+
+use crate::records::FinalRecord;
+use crate::state::cell::Cell;
+use crate::state::job::{Job, Wait};
+use crate::state::ledger::Key;
+use crate::state::machine::Seen;
+use crate::state::names::*;
+use copperhaven_wire::jobs::{HeldBy, Shown};
+
+/// So many of the jobs that one waits for are told to whoever asks.
+const TOLD: usize = 20;
+/// So many steps back the one that holds a pipeline up is looked for.
+const STEPS: usize = 1000;
+
+impl Cell {
+    pub fn show(&self, uid: &str) -> Option<Shown> {
+        if let Some((id, job)) = self.job(uid) {
+            if !self.accepted(id, job) {
+                return None;
+            }
+            // What it waits for may have been cancelled, which others may have told its user.
+            if job.open() && !job.awaits.is_empty() && !self.links.settled() {
+                return None;
+            }
+            let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
+            let status = if saved(job.cancel_ver) {
+                "aborted"
+            } else if job.all_done() && saved(job.final_ver) {
+                "done"
+            } else if job.running > 0 || job.all_done() {
+                "running"
+            } else {
+                "queued"
+            };
+            let why = (status == "queued" || !job.waiting.is_empty())
+                .then(|| self.why_waiting(id, job).text().to_string())
+                .filter(|w| !w.is_empty() && job.open());
+            let mut shown = Shown {
+                done: job.done.len() as u64,
+                running: u64::from(job.running),
+                why,
+                ..Shown::new(uid, status)
+            };
+            if job.open() && !job.awaits.is_empty() {
+                self.show_waiting(job, &mut shown);
+            }
+            return Some(shown);
+        }
+        self.finals.get(uid).map(|f| shown_final(uid, f))
+    }
+
+    /// Why a job waits. Looked up when somebody asks: where its tasks are all on machines and
+    /// still don't run, the machines tell.
+    pub fn why_waiting(&self, id: JobId, job: &Job) -> Wait {
+        if !job.waiting.is_empty() || job.running > 0 || job.onto.is_empty() {
+            return job.wait;
+        }
+        let mut wait = Wait::Image;
+        for m in self.machines.values() {
+            for (_, e) in m.entries.range((id, 0)..=(id, u32::MAX)) {
+                match e.seen {
+                    _ if e.stop.is_some() => wait = Wait::Stopping,
+                    Seen::Not if e.inherited => wait = Wait::Absence,
+                    Seen::Waiting if wait == Wait::Image => wait = Wait::Mates,
+                    _ => {}
+                }
+            }
+        }
+        wait
+    }
+
+    /// Tells for which jobs a waiting one waits, and which step holds it back.
+    pub fn show_waiting(&self, job: &Job, shown: &mut Shown) {
+        shown.awaits = job.awaits.iter().take(TOLD).map(ToString::to_string).collect();
+        shown.awaits_count = job.awaits.len() as u64;
+        let mut at = job;
+        for _ in 0..STEPS {
+            let open = at.awaits.iter().take(TOLD).filter_map(|uid| self.job(uid));
+            let Some((id, next)) = open.max_by_key(|(_, j)| j.eta) else { return };
+            at = next;
+            if at.awaits.is_empty() {
+                let why = self.why_waiting(id, at).text();
+                shown.held_by = Some(HeldBy {
+                    uid: at.spec.uid.to_string(),
+                    lot: at.body.lot.clone(),
+                    status: if at.running > 0 { "running" } else { "queued" }.into(),
+                    why: (!why.is_empty()).then(|| why.to_string()),
+                });
+                return;
+            }
+        }
+    }
+}
+
+pub fn shown_final(uid: &str, f: &FinalRecord) -> Shown {
+    let status = if f.done { "done" } else { "aborted" };
+    Shown { done: u64::from(f.tasks), ..Shown::new(uid, status) }
+}
--- /dev/null
+++ b/crates/core/src/recording.rs
@@ -0,0 +1,138 @@
+//! Group commit: what the next transaction records, and what follows from its outcome (safety:
+//! durable first; an unknown outcome is read back).
+
+use crate::records::FinalRecord;
+use crate::state::book::Book;
+use crate::state::cell::Cell;
+use crate::state::job::{CHUNK, Wait};
+use crate::state::ledger::{Batch, Key};
+use crate::state::machine::Seen;
+use crate::state::names::*;
+
+impl Cell {
+    /// The next transaction: at most `ops` changes, the most urgent keys first.
+    pub fn batch(&mut self, ops: usize) -> Option<Batch> {
+        self.batch_with_reserve(ops, 0)
+    }
+
+    /// The same, with so many of the changes left to what users wait for.
+    pub fn batch_with_reserve(&mut self, ops: usize, reserve: usize) -> Option<Batch> {
+        let Cell { ledger, jobs, machines, links, fleet, names, .. } = self;
+        let draft = ledger.draft(&Book { jobs, machines, links, fleet, names }, ops, reserve);
+        for key in draft.long {
+            self.ledger.hold_back(&key);
+            if let Key::Machine(mid) = key {
+                self.unassign(mid);
+            }
+        }
+        draft.batch
+    }
+
+    /// A transaction was called malformed or too large. False: it was one of several.
+    pub fn malformed(&mut self, batch: &Batch) -> bool {
+        let given_up = self.ledger.malformed(batch);
+        if let Some(Key::Machine(mid)) = given_up {
+            self.unassign(mid);
+        }
+        given_up.is_some()
+    }
+
+    /// A transaction was applied at `rev`.
+    pub fn applied(&mut self, batch: &Batch, rev: u64) {
+        self.ledger.applied(batch, rev);
+        for key in &batch.keys {
+            match key {
+                Key::Job(id) => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        if job.wait == Wait::Recording {
+                            job.wait = Wait::Nothing;
+                        }
+                        let done = job.final_ver.is_some() && !job.cancelled();
+                        if job.cancelled() || done {
+                            // Both are recorded if they were decided before it was rendered.
+                            let ver = job.cancel_ver.or(job.final_ver);
+                            if ver.is_some_and(|v| v <= batch.ver) {
+                                self.links.decide(job.spec.uid.clone(), done);
+                            }
+                        }
+                        if job.final_ver.is_some_and(|v| v <= batch.ver) {
+                            job.unsaved.clear();
+                            let tasks = job.done.len() as u32;
+                            let record = FinalRecord { done: !job.cancelled(), tasks };
+                            let uid = job.spec.uid.clone();
+                            self.finals.remember(uid, record);
+                        }
+                    }
+                    self.retire(*id);
+                    self.stir = true;
+                }
+                Key::Done(id, chunk) => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.unsaved.retain(|t, v| t / CHUNK != *chunk || *v > batch.ver);
+                    }
+                }
+                Key::Machine(mid) => {
+                    if !self.machines.contains_key(mid) {
+                        self.ledger.unmark(key);
+                    }
+                }
+                Key::Links(..) | Key::Rental(_) | Key::Drop(_) => {}
+            }
+        }
+    }
+
+    /// A condition on `key` failed, and it was read back: its version, and what it says if it is
+    /// a final record.
+    pub fn read_back(&mut self, key: &str, stamp: Option<u64>, last: Option<FinalRecord>) {
+        if let (Some(uid), Some(last)) = (key.strip_prefix("f/"), last)
+            && let Some(id) = self.jobs.id(uid)
+            && self.jobs.get(&id).is_some_and(|job| !self.accepted(id, job))
+        {
+            // Taken for new, but over long since: nothing of it was started or told.
+            self.finals.remember(uid.into(), last);
+            self.drop_unaccepted(id);
+            return;
+        }
+        self.ledger.stamp(key.into(), stamp);
+    }
+
+    fn drop_unaccepted(&mut self, id: JobId) {
+        let on: Vec<(MachineId, u32)> = self
+            .machines
+            .iter()
+            .flat_map(|(mid, m)| {
+                m.entries.range((id, 0)..=(id, u32::MAX)).map(|((_, task), _)| (*mid, *task))
+            })
+            .collect();
+        for (mid, task) in on {
+            self.detach(mid, id, task);
+        }
+        let Some(job) = self.jobs.remove(&id) else { return };
+        self.queue.remove(&(job.turn_at, id));
+        self.links.reconsider(&job);
+        self.links.forget(&job.spec.uid);
+        self.ledger.forget(&Key::Job(id));
+        self.ledger.stamp(format!("j/{}", job.spec.uid), None);
+        for part in 0..job.parts {
+            self.ledger.forget(&Key::Links(id, part));
+            self.ledger.drop_path(format!("a/{}/{part}", job.spec.uid));
+        }
+    }
+
+    /// Takes off a machine's list what has not been sent to it yet.
+    fn unassign(&mut self, mid: MachineId) {
+        let Some(m) = self.machines.get(&mid) else { return };
+        let key = Key::Machine(mid);
+        let unsent: Vec<(JobId, u32)> = m
+            .entries
+            .iter()
+            .filter(|(_, e)| e.mark.is_none() && !e.inherited && e.seen == Seen::Not)
+            .filter(|(_, e)| !self.is_saved(&key, e.ver))
+            .map(|(k, _)| *k)
+            .collect();
+        for (id, task) in unsent {
+            self.detach(mid, id, task);
+            self.lost_task(id);
+        }
+    }
+}
--- a/crates/core/src/safety_tests.rs
+++ b/crates/core/src/safety_tests.rs
@@ -1,13 +1,16 @@
 //! Tables of the cases on which safety rests, played on one leader's cell with stand-ins for
 //! worker and store. The random schedules in `tests/failures.rs` cover their combinations.
 
-use crate::cell::{Cell, Key};
+use crate::admission::shape::admit_shape;
 use crate::for_tests::*;
-use crate::jobs::{Shape, admit_shape};
-use crate::names::*;
 use crate::records::{Change, Cond, MachineRecord, OnRecord, Record};
+use crate::state::cell::Cell;
+use crate::state::ledger::Key;
+use crate::state::names::*;
 use crate::takeover::{Records, rebuild};
-use crate::workers::{Order, Report, Taken};
+use crate::workers::reports::Taken;
+use copperhaven_wire::jobs::Shape;
+use copperhaven_wire::workers::{Order, Report};
 use std::sync::Arc;
 
 fn runs(orders: &[Order]) -> Vec<(String, u64)> {
@@ -27,7 +30,7 @@
     assert!(runs(&exchange(&mut c, &report(1, 1, 0, &[]), T0)).is_empty());
     let got = runs(&exchange(&mut c, &report(1, 2, TERM, &[]), T0 + 500));
     assert_eq!(got.len(), 1);
-    let mid = c.by_name["n-1"];
+    let mid = c.machines.id("n-1").expect("known");
     (c, id, mid, got[0].1)
 }
 
@@ -45,7 +48,7 @@
     assert!(c.show("wk-1").is_none(), "nor is it called accepted");
     commit(&mut c);
     c.place(T0);
-    let mid = c.by_name["n-1"];
+    let mid = c.machines.id("n-1").expect("known");
     assert!(!c.orders_ready(mid));
     let orders = c.orders(mid, (1, 1), T0, true).expect("orders").orders;
     assert!(runs(&orders).is_empty(), "the list that holds it is not recorded yet");
@@ -128,9 +131,9 @@
     let machines = vec![("m/n-1".to_string(), machine, 3)];
     let jobs = vec![("j/wk-1".into(), job, 2)];
     rebuild(&mut c, Records { jobs, machines, ..Records::default() }, T0, T0);
-    let (id, mid) = (c.by_uid["wk-1"], c.by_name["n-1"]);
+    let (id, mid) = (c.jobs.id("wk-1").expect("known"), c.machines.id("n-1").expect("known"));
     assert_eq!(c.jobs[&id].waiting.len(), 1, "two of three may be on the machine");
-    assert_eq!(c.usage[0].cpus, 2.0, "and count against the limit");
+    assert_eq!(c.teams.usage(TeamId::from(0)).cpus, 2.0, "and count against the limit");
     assert_eq!(c.direct.len(), 1, "the machine is sent the new term");
     let bound = c.settings.holding_ms() + c.settings.lease_ms();
     assert!(c.expire(T0 + bound - 100).is_empty());
@@ -164,7 +167,7 @@
     commit(&mut c);
     c.cancel(id, T0);
     assert_ne!(c.show("wk-1").expect("known").status, "aborted", "not before it is recorded");
-    let mid = c.by_name["n-1"];
+    let mid = c.machines.id("n-1").expect("known");
     assert!(runs(&c.orders(mid, (1, 1), T0, true).expect("orders").orders).is_empty());
     commit(&mut c);
     assert_eq!(c.show("wk-1").expect("known").status, "aborted");
@@ -197,7 +200,7 @@
     assert_eq!(lost.when, next.when);
     assert!(c.show("wk-1").is_none());
     // The lost one was applied after all: its version is read back, and the write repeated.
-    c.stamps.insert("j/wk-1".into(), 77);
+    c.ledger.stamp("j/wk-1".into(), Some(77));
     let again = c.batch(16).expect("again");
     assert!(again.when.contains(&Cond { path: "j/wk-1".into(), stamp: 77 }));
     c.applied(&again, 78);
@@ -216,7 +219,11 @@
     }
     c.place(T0);
     c.check();
-    assert_eq!(c.usage[1].cpus, 32.0, "the limit of blue, though there is room for 48");
+    assert_eq!(
+        c.teams.usage(TeamId::from(1)).cpus,
+        32.0,
+        "the limit of blue, though there is room for 48"
+    );
 }
 
 #[test]
@@ -241,10 +248,10 @@
     assert_eq!(c.jobs[&id].in_zone, [3, 0]);
     let attempt = c.jobs[&id].attempt;
     // One machine goes before the gang has started: its replacement has the same attempt.
-    c.remove_machine(c.by_name["n-2"]);
+    c.remove_machine(c.machines.id("n-2").expect("known"));
     c.on_report(&at(5, "north", 1), T0);
     c.place(T0);
-    let m = &c.machines[&c.by_name["n-5"]];
+    let m = &c.machines[&c.machines.id("n-5").expect("known")];
     assert!(m.entries.values().all(|e| e.attempt == attempt) && m.entries.len() == 1);
     c.check();
 }
@@ -255,7 +262,7 @@
 
 /// What `job` has on this machine fails there.
 fn fail(c: &mut Cell, machine: u32, tally: u64, job: JobId, now: u64) {
-    let m = &c.machines[&c.by_name[&format!("n-{machine}")]];
+    let m = &c.machines[&c.machines.id(&format!("n-{machine}")).expect("known")];
     let on: Vec<(String, u64, bool)> =
         m.entries.iter().map(|((id, t), e)| (c.parcel(*id, *t), e.attempt, *id == job)).collect();
     let status = |fails: bool| if fails { "ended:error" } else { "running" };
@@ -331,7 +338,7 @@
     // 8 KiB, and 2 KiB announced.
     for (limit, least) in [(8192, 90), (2048, 20)] {
         let mut c = cell();
-        c.value_limit = limit;
+        c.ledger.value_limit = limit;
         for n in 0..300 {
             let mut body = body(&format!("wk-{n:020}"));
             (body.owner, body.parcels, body.cpus, body.mem_gb) = ("guest".into(), 1, 0.1, 0.1);
@@ -347,13 +354,13 @@
         for pass in 0..5 {
             c.place(T0 + pass * 1000);
         }
-        let on = c.machines[&c.by_name["n-1"]].entries.len();
+        let on = c.machines[&c.machines.id("n-1").expect("known")].entries.len();
         let put = commit(&mut c).into_iter().find_map(|change| match change {
             Change::Put { put, v, .. } if put == "m/n-1" => Some(v.bytes()),
             _ => None,
         });
         let size = put.expect("recorded");
-        assert!(on >= least && size <= limit && c.held_back.is_empty(), "{on} tasks, {size}");
+        assert!(on >= least && size <= limit && c.ledger.held_back() == 0, "{on} tasks, {size}");
     }
 }
 
@@ -366,7 +373,10 @@
         commit(&mut c);
         exchange(&mut c, &by(1, 1, &[]), T0);
         fail(&mut c, 1, 2, id, T0 + 600);
-        assert!(!c.machines[&c.by_name["n-1"]].faulty, "it may be the job's own mistake");
+        assert!(
+            !c.machines[&c.machines.id("n-1").expect("known")].faulty,
+            "it may be the job's own mistake"
+        );
         let got = runs(&exchange(&mut c, &by(2, 1, &[]), T0 + 700));
         assert_eq!(got.len(), 2, "the machine in doubt is avoided");
         let at = |status: &'static str| -> Vec<(&str, u64, &str)> {
@@ -378,8 +388,12 @@
             c.on_report(&by(2, 4, &at("ended:done")), T0 + 1_200 + ran);
         }
         c.judge(T0 + 1_200 + ran);
-        assert_eq!(c.machines[&c.by_name["n-1"]].faulty, faulty, "after {ran} ms");
-        assert!(!c.machines[&c.by_name["n-2"]].faulty);
+        assert_eq!(
+            c.machines[&c.machines.id("n-1").expect("known")].faulty,
+            faulty,
+            "after {ran} ms"
+        );
+        assert!(!c.machines[&c.machines.id("n-2").expect("known")].faulty);
     }
 }
 
@@ -414,7 +428,7 @@
         let id = add_job(&mut c, "wk-1", |b| b.parcels = 4);
         commit(&mut c);
         exchange(&mut c, &report(1, 1, TERM, &[]), T0);
-        let mid = c.by_name["n-1"];
+        let mid = c.machines.id("n-1").expect("known");
         let tries: Vec<u64> = c.machines[&mid].entries.values().map(|e| e.attempt).collect();
         assert_eq!(tries.len(), 4);
         let list = |status| {
@@ -447,7 +461,7 @@
         }
         let id = add_job(&mut c, "wk-2", |b| {
             (b.owner, b.shape, b.parcels) = ("blue".into(), Shape::Gang, 2);
-            (b.cpus, b.precedence) = (4.0, crate::jobs::Precedence::High);
+            (b.cpus, b.precedence) = (4.0, copperhaven_wire::jobs::Precedence::High);
             b.loaners = false;
         });
         commit(&mut c);
@@ -585,7 +599,7 @@
 #[test]
 fn what_reports_or_is_listed_before_the_first_rental_counts_as_provided() {
     let (c, ..) = started();
-    let host = |uid: &str, status: &str| crate::fleet::Host {
+    let host = |uid: &str, status: &str| copperhaven_wire::cloud::Host {
         uid: uid.into(),
         berth: "small".into(),
         yard: "north".into(),
@@ -663,7 +677,7 @@
         // It is refused, and the final record read back.
         let last = crate::records::FinalRecord { done: true, tasks: 3 };
         c.read_back("f/wk-1", Some(40), Some(last));
-        assert!(c.batch(16).is_none() && c.job("wk-1").is_none() && c.order.is_empty());
+        assert!(c.batch(16).is_none() && c.job("wk-1").is_none() && c.queue.is_empty());
         assert_eq!(c.show("wk-1").expect("known").status, "done");
         c.check();
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -238,7 +238,7 @@
 }
 
 impl Settings {
-    fn check(&self) -> Result<(), SettingsError> {
+    pub(crate) fn check(&self) -> Result<(), SettingsError> {
         let positive = |name: &'static str, v: f64| {
             if v.is_finite() && v > 0.0 {
                 Ok(())
--- /dev/null
+++ b/crates/core/src/state/book.rs
@@ -0,0 +1,196 @@
+//! What the records of a cell say: each is rendered from the state as it is now.
+
+use crate::records::*;
+use crate::state::cell::Cell;
+use crate::state::fleet::Fleet;
+use crate::state::job::{CHUNK, Job, SPLIT};
+use crate::state::ledger::{Key, Ledger, Source};
+use crate::state::links::Links;
+use crate::state::machine::Machine;
+use crate::state::names::*;
+use crate::state::table::Table;
+use copperhaven_wire::jobs::JobBody;
+use std::collections::BTreeMap;
+
+/// What a group of tasks and a range of it take of a machine's record at most; a record that gets
+/// too long all the same is held back.
+pub const GROUP_BYTES: usize = 64;
+pub const RANGE_BYTES: usize = 9;
+
+/// The owners of what is recorded.
+pub struct Book<'a> {
+    pub jobs: &'a Table<JobId, Job>,
+    pub machines: &'a Table<MachineId, Machine>,
+    pub links: &'a Links,
+    pub fleet: &'a Fleet,
+    pub names: &'a Names,
+}
+
+impl Book<'_> {
+    /// The job of this key, if it is not accepted yet.
+    fn new_job(&self, key: &Key, ledger: &Ledger) -> Option<&Job> {
+        let Key::Job(id) = key else { return None };
+        self.jobs.get(id).filter(|job| !ledger.is_saved(key, job.accept_ver))
+    }
+
+    /// The record of an open job.
+    fn job_record(&self, job: &Job, most: usize) -> JobRecord {
+        let mut body = (*job.body).clone();
+        let mut waits = None;
+        if !job.awaits.is_empty() && !job.cancelled() {
+            let listed = self.links.inline(job);
+            let on = listed.map(ToString::to_string).collect();
+            waits = Some(Waits { on, berths: body.berths.replace(vec![]), parts: job.parts });
+        }
+        let since = (job.turn_at != job.at).then_some(job.turn_at);
+        let mut record =
+            JobRecord { job: body, at: job.at, cancelled: job.cancelled(), waits, since };
+        if record.cancelled && Record::Job(Box::new(record.clone())).bytes() > most {
+            // Accepted under a higher limit. That it is cancelled has to be recorded; of its names
+            // only the team's counts from here on.
+            (record.job.lot, record.job.cargo) = ("?".into(), "?".into());
+        }
+        record
+    }
+
+    fn machine_record(&self, m: &Machine) -> MachineRecord {
+        let mut by_job: BTreeMap<(JobId, u64), Vec<u32>> = BTreeMap::new();
+        for ((id, task), e) in &m.entries {
+            by_job.entry((*id, e.attempt)).or_default().push(*task);
+        }
+        let on = by_job
+            .into_iter()
+            .filter_map(|((id, t), tasks)| {
+                let j = self.jobs.get(&id)?.spec.uid.to_string();
+                Some(OnRecord { j, t, r: to_ranges(tasks) })
+            })
+            .collect();
+        MachineRecord {
+            addr: m.addr.clone(),
+            berth: self.names.types.name(m.kind.ix()).into(),
+            yard: self.names.zones.name(m.zone.ix()).into(),
+            spot: m.spot,
+            shift: m.last.0,
+            on,
+        }
+    }
+}
+
+impl Source for Book<'_> {
+    fn render(&self, key: &Key, ledger: &Ledger) -> Vec<Change> {
+        let put = |put: String, v: Record| Change::Put { put, v, charter: None };
+        match key {
+            Key::Job(id) => {
+                let Some(job) = self.jobs.get(id) else { return vec![] };
+                let uid = &job.spec.uid;
+                if job.final_ver.is_some() {
+                    let record =
+                        FinalRecord { done: !job.cancelled(), tasks: job.done.len() as u32 };
+                    return vec![
+                        put(format!("f/{uid}"), Record::Final(record)),
+                        Change::Delete { delete: format!("j/{uid}") },
+                    ];
+                }
+                let record = self.job_record(job, ledger.value_limit);
+                vec![put(format!("j/{uid}"), Record::Job(Box::new(record)))]
+            }
+            Key::Links(id, part) => {
+                let Some(job) = self.jobs.get(id) else { return vec![] };
+                let Some(on) = self.links.part(&job.spec.uid, *part) else { return vec![] };
+                let record = LinksRecord { on: on.iter().map(ToString::to_string).collect() };
+                vec![put(format!("a/{}/{part}", job.spec.uid), Record::Links(record))]
+            }
+            Key::Done(id, chunk) => {
+                let Some(job) = self.jobs.get(id) else { return vec![] };
+                let from = chunk * CHUNK;
+                let ranges = |from: u32, n: u32| {
+                    let r = to_ranges(job.done.range(from..from + n).copied());
+                    Record::Done(DoneRecord { r })
+                };
+                let whole = format!("d/{}/{chunk}", job.spec.uid);
+                let record = ranges(from, CHUNK);
+                if record.bytes() <= ledger.value_limit {
+                    return vec![put(whole, record)];
+                }
+                // Too scattered for one value: in parts, which an older version reads as well.
+                let n = CHUNK / SPLIT;
+                let part = |p| (format!("{whole}/{p}"), ranges(from + p * n, n));
+                (0..SPLIT).map(part).map(|(path, record)| put(path, record)).collect()
+            }
+            Key::Machine(mid) => match self.machines.get(mid) {
+                Some(m) => {
+                    vec![put(format!("m/{}", m.name), Record::Machine(self.machine_record(m)))]
+                }
+                None => vec![],
+            },
+            Key::Rental(name) => match self.fleet.record(name, self.names) {
+                Some(record) => vec![put(format!("r/{name}"), Record::Rental(record))],
+                None => vec![],
+            },
+            Key::Drop(path) => vec![Change::Delete { delete: path.clone() }],
+        }
+    }
+
+    /// Nobody waits for the end of a job that follows from another's.
+    fn can_wait(&self, key: &Key, ledger: &Ledger) -> bool {
+        let Key::Job(id) = key else { return false };
+        self.jobs.get(id).is_some_and(|j| j.derived && ledger.is_saved(key, j.accept_ver))
+    }
+
+    /// A job's record says that all it waits for is recorded.
+    fn first(&self, key: &Key, ledger: &Ledger) -> Vec<Key> {
+        let Key::Job(id) = key else { return vec![] };
+        let parts = self.new_job(key, ledger).map_or(0, |job| job.parts);
+        (0..parts).map(|p| Key::Links(*id, p)).collect()
+    }
+
+    /// A submission may repeat that of a job that is over and has left the memory: it is only
+    /// recorded if there is no final record of it.
+    fn unless(&self, key: &Key, ledger: &Ledger) -> Option<String> {
+        let job = self.new_job(key, ledger).filter(|job| job.final_ver.is_none())?;
+        Some(format!("f/{}", job.spec.uid))
+    }
+}
+
+impl Cell {
+    /// How long the record of a waiting job is without the jobs that it waits for.
+    pub fn empty_record_bytes(&self, job: &JobBody) -> usize {
+        let waits = Some(Waits { on: vec![], berths: job.berths.clone(), parts: u32::MAX });
+        let (at, since) = (u64::MAX, Some(u64::MAX));
+        let record = JobRecord { job: job.clone(), at, cancelled: false, waits, since };
+        Record::Job(Box::new(record)).bytes()
+    }
+
+    /// Bytes that a machine's record has left for more tasks, counting what the ranges of those on
+    /// it may grow to as some of them end.
+    pub fn record_room(&self, m: &Machine) -> usize {
+        let names =
+            self.names.types.name(m.kind.ix()).len() + self.names.zones.name(m.zone.ix()).len();
+        let base = 96 + m.addr.len() + names;
+        let left = self.ledger.value_limit.saturating_sub(base);
+        // Most machines hold few tasks: no need to look closer.
+        let rough = m.entries.len() * (GROUP_BYTES + RANGE_BYTES);
+        if rough + 8 * GROUP_BYTES < left {
+            return left - rough;
+        }
+        let mut used = 0;
+        let (mut last, mut run): (Option<(JobId, u64, u32)>, usize) = (None, 0);
+        let ranges = |run: usize| run.div_ceil(2) * RANGE_BYTES + 2;
+        for ((id, task), e) in &m.entries {
+            match last {
+                Some((j, t, n)) if (j, t) == (*id, e.attempt) && n + 1 == *task => run += 1,
+                Some((j, t, _)) if (j, t) == (*id, e.attempt) => {
+                    used += ranges(run);
+                    run = 1;
+                }
+                _ => {
+                    let id = self.jobs.get(id).map_or(24, |j| j.spec.uid.len());
+                    used += GROUP_BYTES - 24 + id + ranges(run);
+                    run = 1;
+                }
+            }
+            last = Some((*id, e.attempt, *task));
+        }
+        left.saturating_sub(used + ranges(run))
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/ledger.rs
@@ -0,0 +1,339 @@
+//! The ledger of records: which keys have something to record, which are safe, under which version
+//! each stands at the state service, and what the next transaction writes. It knows nothing of
+//! what the records say: whoever owns them tells (`Source`).
+
+use crate::records::{Change, Cond};
+use crate::state::names::{JobId, MachineId};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A key with something to record, in the order in which records are written: what users wait
+/// for first, what nobody waits for last.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Key {
+    /// More of what a job waits for; before its own record.
+    Links(JobId, u32),
+    Job(JobId),
+    Rental(String),
+    Machine(MachineId),
+    Done(JobId, u32),
+    Drop(String),
+}
+
+impl Key {
+    /// Finished ranges, which only spare work after a crash.
+    const RANGES: u8 = 3;
+    const LAST: u8 = 4;
+
+    fn urgency(&self) -> u8 {
+        match self {
+            Key::Links(..) | Key::Job(_) => 0,
+            Key::Rental(_) => 1,
+            Key::Machine(_) => 2,
+            Key::Done(..) => Key::RANGES,
+            Key::Drop(_) => Key::LAST,
+        }
+    }
+}
+
+/// One transaction about to be sent.
+#[derive(Debug)]
+pub struct Batch {
+    pub ver: u64,
+    pub keys: Vec<Key>,
+    pub when: Vec<Cond>,
+    pub apply: Vec<Change>,
+}
+
+/// How the writing of records went in this term.
+#[derive(Debug)]
+pub struct Commits {
+    pub writes: u64,
+    /// Transactions refused as malformed or too large, and for too many changes in a second.
+    pub too_large: u64,
+    pub too_many: u64,
+    pub micros: hdrhistogram::Histogram<u32>,
+}
+
+impl Default for Commits {
+    fn default() -> Self {
+        Commits {
+            writes: 0,
+            too_large: 0,
+            too_many: 0,
+            // Two digits up to a minute: a few KiB. The bounds are constants and valid.
+            micros: hdrhistogram::Histogram::new_with_max(60_000_000, 2).expect("valid bounds"),
+        }
+    }
+}
+
+/// What the ledger asks those who own the records.
+pub trait Source {
+    /// The changes that record what stands under this key now; none: there is nothing to record.
+    fn render(&self, key: &Key, ledger: &Ledger) -> Vec<Change>;
+    /// Does nobody wait for this record, whatever its kind?
+    fn can_wait(&self, key: &Key, ledger: &Ledger) -> bool;
+    /// Keys that have to be safe before this one is written, or written with it.
+    fn first(&self, key: &Key, ledger: &Ledger) -> Vec<Key>;
+    /// A path at which nothing may be on record for this one to be written.
+    fn unless(&self, key: &Key, ledger: &Ledger) -> Option<String>;
+}
+
+/// What became of drafting a transaction.
+#[derive(Debug, Default)]
+pub struct Draft {
+    pub batch: Option<Batch>,
+    /// Keys whose records are longer than a value may be.
+    pub long: Vec<Key>,
+}
+
+#[derive(Debug)]
+pub struct Ledger {
+    /// Key and version of the leader record that every transaction is conditional on.
+    pub leader: Cond,
+    /// The longest value that is written: the limit, or less once the service refused one.
+    pub value_limit: usize,
+    /// Only one record to a transaction: one of them was refused.
+    pub alone: bool,
+    pub commits: Commits,
+    /// Keys with something to record: since which version, and the newest.
+    dirty: BTreeMap<Key, (u64, u64)>,
+    saved: HashMap<Key, u64>,
+    stamps: HashMap<String, u64>,
+    ver: u64,
+    /// Records that are longer than a value may be, and wait until they have shrunk.
+    held_back: BTreeSet<Key>,
+}
+
+/// A transaction holds so many bytes at most: below the service's 64 KiB, with room for its frame.
+const MOST_BYTES: usize = 48 << 10;
+
+impl Ledger {
+    pub fn new(leader: Cond, value_limit: usize) -> Ledger {
+        Ledger {
+            leader,
+            value_limit,
+            alone: false,
+            commits: Commits::default(),
+            dirty: BTreeMap::new(),
+            saved: HashMap::new(),
+            stamps: HashMap::new(),
+            ver: 0,
+            held_back: BTreeSet::new(),
+        }
+    }
+
+    /// Marks a key as having something to record; the returned version is safe once `is_saved`.
+    pub fn touch(&mut self, key: Key) -> u64 {
+        self.ver += 1;
+        let ver = self.ver;
+        self.dirty.entry(key).and_modify(|d| d.1 = ver).or_insert((ver, ver));
+        self.ver
+    }
+
+    pub fn is_saved(&self, key: &Key, ver: u64) -> bool {
+        self.saved.get(key).is_some_and(|v| *v >= ver)
+    }
+
+    /// A record read at the takeover is safe as it is.
+    pub fn mark_saved(&mut self, key: Key) {
+        self.saved.insert(key, self.ver);
+    }
+
+    /// Was any version of it recorded in this term, or read at the takeover?
+    pub fn is_known(&self, key: &Key) -> bool {
+        self.saved.contains_key(key)
+    }
+
+    /// How many keys have something to record.
+    pub fn unwritten(&self) -> usize {
+        self.dirty.len()
+    }
+
+    /// Of these, how many can't be written for now.
+    pub fn held_back(&self) -> usize {
+        self.held_back.len()
+    }
+
+    pub fn is_held_back(&self, key: &Key) -> bool {
+        self.held_back.contains(key)
+    }
+
+    /// This key has nothing to record any more.
+    pub fn clean(&mut self, key: &Key) {
+        self.dirty.remove(key);
+    }
+
+    /// What the key stood for is no more.
+    pub fn forget(&mut self, key: &Key) {
+        self.dirty.remove(key);
+        self.saved.remove(key);
+        self.held_back.remove(key);
+    }
+
+    /// Only the mark that it is safe goes: its owner is no more, what is dirty is still written.
+    pub fn unmark(&mut self, key: &Key) {
+        self.saved.remove(key);
+        self.held_back.remove(key);
+    }
+
+    /// The version under which a path stands at the state service, as last known.
+    pub fn stamp(&mut self, path: String, stamp: Option<u64>) {
+        match stamp {
+            Some(stamp) => self.stamps.insert(path, stamp),
+            None => self.stamps.remove(&path),
+        };
+    }
+
+    pub fn paths(&self) -> impl Iterator<Item = &String> {
+        self.stamps.keys()
+    }
+
+    /// Has a path deleted, if anything is on record there.
+    pub fn drop_path(&mut self, path: String) {
+        if self.stamps.contains_key(&path) {
+            self.touch(Key::Drop(path));
+        }
+    }
+
+    /// Is anything to be recorded that users wait for?
+    pub fn users_wait(&self) -> bool {
+        self.dirty.keys().any(|k| k.urgency() == 0)
+    }
+
+    /// Dirty keys in the order in which they are written: by urgency, those that have waited
+    /// longest first, so that none is passed over for ever by those that change all the time.
+    /// Finished ranges are many and nobody waits for them (a job that is over has its final
+    /// record instead): a transaction takes a quarter of them, and each record says more.
+    fn urgent(&self, source: &impl Source, ops: usize) -> Vec<Key> {
+        let urgency =
+            |key: &Key| if source.can_wait(key, self) { Key::LAST } else { key.urgency() };
+        let mut order: Vec<(u8, u64, &Key)> =
+            self.dirty.iter().map(|(key, (since, _))| (urgency(key), *since, key)).collect();
+        order.sort_unstable();
+        let mut ranges = (ops / 4).max(1);
+        let others = order.iter().any(|(urgency, ..)| *urgency < Key::RANGES);
+        let mut first = vec![];
+        let mut last = vec![];
+        for (urgency, _, key) in order {
+            if urgency == Key::RANGES && others && ranges > 0 {
+                ranges -= 1;
+                first.push(key.clone());
+            } else {
+                last.push(key.clone());
+            }
+        }
+        // Users' answers still go before the ranges.
+        let users = last.iter().take_while(|k| urgency(k) == 0).count();
+        let rest = last.split_off(users);
+        last.into_iter().chain(first).chain(rest).collect()
+    }
+
+    /// The next transaction: at most `ops` changes and 48 KiB, the most urgent keys first, with
+    /// `reserve` of the changes left to what users wait for.
+    pub fn draft(&mut self, source: &impl Source, ops: usize, reserve: usize) -> Draft {
+        let mut batch =
+            Batch { ver: self.ver, keys: vec![], when: vec![self.leader.clone()], apply: vec![] };
+        let mut size = 0;
+        let mut idle = vec![];
+        let mut long = vec![];
+        for key in &self.urgent(source, ops) {
+            if self.alone && !batch.keys.is_empty() {
+                break;
+            }
+            let missing = |k: &Key| !self.saved.contains_key(k) && !batch.keys.contains(k);
+            if source.first(key, self).iter().any(missing) {
+                continue;
+            }
+            let changes = source.render(key, self);
+            if changes.is_empty() {
+                idle.push(key.clone());
+                continue;
+            }
+            // One value that is too long must not keep the others from being written.
+            if changes.iter().any(|c| c.bytes() > self.value_limit) {
+                long.push(key.clone());
+                continue;
+            }
+            let bytes: usize =
+                changes.iter().map(|c| c.bytes() + 3 * c.path().len() + 96).sum::<usize>();
+            let most = if key.urgency() == 0 { ops } else { ops.saturating_sub(reserve) };
+            if batch.apply.len() + changes.len() > most || size + bytes > MOST_BYTES {
+                break;
+            }
+            size += bytes;
+            for change in &changes {
+                let path = change.path().to_string();
+                let stamp = self.stamps.get(&path).copied().unwrap_or(0);
+                batch.when.push(Cond { path, stamp });
+            }
+            if let Some(path) = source.unless(key, self) {
+                batch.when.push(Cond { path, stamp: 0 });
+            }
+            batch.apply.extend(changes);
+            batch.keys.push(key.clone());
+        }
+        for key in idle {
+            self.dirty.remove(&key);
+            self.held_back.remove(&key);
+        }
+        for key in &batch.keys {
+            self.held_back.remove(key);
+        }
+        Draft { batch: (!batch.keys.is_empty()).then_some(batch), long }
+    }
+
+    /// A record is longer than a value may be, as an older version or an earlier limit left it. What
+    /// is on record stays true: it lists all that was ever sent. Nothing is added until it has
+    /// shrunk.
+    pub fn hold_back(&mut self, key: &Key) {
+        if self.held_back.insert(key.clone()) {
+            tracing::warn!("a record is too long to be written, until it shrinks: {key:?}");
+        }
+    }
+
+    /// A transaction was applied at `rev`.
+    pub fn applied(&mut self, batch: &Batch, rev: u64) {
+        for change in &batch.apply {
+            match change {
+                Change::Put { put, .. } => self.stamps.insert(put.clone(), rev),
+                Change::Delete { delete } => self.stamps.remove(delete),
+            };
+        }
+        for key in &batch.keys {
+            match self.dirty.get_mut(key) {
+                Some((_, ver)) if *ver <= batch.ver => {
+                    self.dirty.remove(key);
+                }
+                Some((since, _)) => *since = batch.ver + 1,
+                None => {}
+            }
+            if !matches!(key, Key::Drop(_)) {
+                self.saved.insert(key.clone(), batch.ver);
+            }
+        }
+    }
+
+    /// A transaction was called malformed or too large: its records are tried one by one. Alone in
+    /// it, one is given up as it is: what waits for it is never called safe. If it was long, the
+    /// service takes less than the settings say, and so do all later values. The key that is given
+    /// up; none: it was one of several.
+    pub fn malformed(&mut self, batch: &Batch) -> Option<Key> {
+        self.commits.too_large += 1;
+        let [key] = batch.keys.as_slice() else {
+            self.alone = true;
+            return None;
+        };
+        tracing::error!("given up as unwritable: {key:?}");
+        let longest = batch.apply.iter().map(Change::bytes).max().unwrap_or(0);
+        if longest > crate::settings::LEAST_VALUE {
+            self.value_limit = self.value_limit.min(longest - 1);
+            tracing::warn!("values are kept below {longest} bytes from now on");
+        }
+        // With the lower limit finished ranges are split, and nobody waits for them; a machine's
+        // record is written again as soon as it has changed.
+        if !(matches!(key, Key::Done(..)) && longest > self.value_limit) {
+            self.dirty.remove(key);
+        }
+        Some(key.clone())
+    }
+}
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -1,9 +1,11 @@
 //! Takeover: all that a new leader knows, from the records alone (DESIGN, the leader paragraph).
 
-use crate::cell::{Cell, Key};
-use crate::jobs::{CHUNK, Wait, admit_shape};
+use crate::admission::shape::admit_shape;
 use crate::records::*;
-use crate::workers::{Direct, Entry};
+use crate::state::cell::Cell;
+use crate::state::job::{CHUNK, Wait};
+use crate::state::ledger::Key;
+use crate::state::machine::{Direct, Entry};
 use std::collections::BTreeMap;
 
 type Rows<T> = Vec<(String, T, u64)>;
@@ -24,13 +26,13 @@
     let Records { jobs, done, machines, rentals, links } = read;
     let mut more: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for (path, record, stamp) in links {
-        cell.stamps.insert(path.clone(), stamp);
+        cell.ledger.stamp(path.clone(), Some(stamp));
         let uid = path.split('/').nth(1).unwrap_or_default();
         more.entry(uid.into()).or_default().extend(record.on);
     }
     let mut parked = vec![];
     for (path, mut record, stamp) in jobs {
-        cell.stamps.insert(path, stamp);
+        cell.ledger.stamp(path, Some(stamp));
         let waits = record.waits.take();
         if let Some(waits) = &waits {
             record.job.berths.clone_from(&waits.berths);
@@ -55,17 +57,17 @@
             if record.cancelled {
                 job.cancel_ver = Some(0);
                 job.waiting.clear();
-                cell.order.remove(&(at, id));
+                cell.queue.remove(&(at, id));
             } else if let Some(since) = record.since {
                 // It has waited for others.
                 let age = wall_ms.saturating_sub(since);
                 job.since = now as i64 - i64::try_from(age).unwrap_or(0);
                 job.turn_at = since;
-                cell.order.remove(&(at, id));
-                cell.order.insert((since, id));
+                cell.queue.remove(&(at, id));
+                cell.queue.insert((since, id));
             }
         }
-        cell.mark_saved(Key::Job(id));
+        cell.ledger.mark_saved(Key::Job(id));
         if let Some(waits) = waits.filter(|_| !record.cancelled) {
             parked.push((id, waits));
         }
@@ -82,15 +84,15 @@
         let uid = path.strip_prefix("a/").and_then(|p| p.split('/').next());
         uid.is_some_and(|uid| cell.job(uid).is_none_or(|(_, j)| j.parts == 0))
     };
-    let unused: Vec<String> = cell.stamps.keys().filter(unused).cloned().collect();
+    let unused: Vec<String> = cell.ledger.paths().filter(unused).cloned().collect();
     for path in unused {
         cell.touch(Key::Drop(path));
     }
     for (path, record, stamp) in done {
         let mut parts = path.split('/').skip(1);
-        let id = parts.next().and_then(|uid| cell.by_uid.get(uid).copied());
+        let id = parts.next().and_then(|uid| cell.jobs.id(uid));
         let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
-        cell.stamps.insert(path.clone(), stamp);
+        cell.ledger.stamp(path.clone(), Some(stamp));
         let (Some(id), Some(chunk)) = (id, chunk) else {
             // Left over from a job that is final.
             cell.touch(Key::Drop(path));
@@ -107,7 +109,7 @@
         }
     }
     for (path, r, stamp) in machines {
-        cell.stamps.insert(path.clone(), stamp);
+        cell.ledger.stamp(path.clone(), Some(stamp));
         let (Some(kind), Some(zone)) =
             (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
         else {
@@ -119,7 +121,7 @@
         for on in &r.on {
             // A job that is not open is final: what is done has exited, and a cancelled job only
             // becomes final once none of its tasks can be on a machine.
-            let Some(id) = cell.by_uid.get(on.j.as_str()).copied() else { continue };
+            let Some(id) = cell.jobs.id(on.j.as_str()) else { continue };
             for task in from_ranges(&on.r) {
                 let job = &cell.jobs[&id];
                 if task < job.spec.tasks && !job.done.contains(&task) {
@@ -136,7 +138,7 @@
         cell.direct.push(Direct { addr: r.addr, shift: r.shift, orders: vec![] });
     }
     for (path, r, stamp) in rentals {
-        cell.stamps.insert(path.clone(), stamp);
+        cell.ledger.stamp(path.clone(), Some(stamp));
         let what = cell.names.types.get(&r.berth).zip(cell.names.zones.get(&r.yard));
         if let Some((kind, zone)) = what {
             let name = path.trim_start_matches("r/");
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -8,15 +8,18 @@
 //! off from some workers or from all, while a successor takes over. Jobs wait for others, are
 //! cancelled in the middle of pipelines, and the store's limits fall while longer records exist.
 
-use copperhaven_core::cell::{Batch, Cell};
-use copperhaven_core::fleet::Flavor;
-use copperhaven_core::jobs::{self, JobBody, Precedence, Shape};
-use copperhaven_core::names::Names;
-use copperhaven_core::pipelines::{Awaits, Named};
+use copperhaven_core::admission::shape::admit_shape;
+use copperhaven_core::pipelines::awaits::{Awaits, Named};
 use copperhaven_core::records::{Change, Cond, Record};
 use copperhaven_core::settings::{NextLimits, Settings};
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::fleet::Flavor;
+use copperhaven_core::state::ledger::Batch;
+use copperhaven_core::state::names::Names;
 use copperhaven_core::takeover::{Records, rebuild};
-use copperhaven_core::workers::{Order, Parcel, Report, Taken};
+use copperhaven_core::workers::reports::Taken;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::workers::{Order, Parcel, Report};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -266,7 +269,7 @@
         }
         rebuild(&mut cell, read, now, now);
         if now + NEW >= self.falls {
-            cell.value_limit = LOW;
+            cell.ledger.value_limit = LOW;
         }
         let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
         self.leaders.push(Leader {
@@ -529,7 +532,7 @@
             let direct = std::mem::take(&mut l.cell.direct);
             let (term, cut) = (l.term, l.cut.clone());
             l.cell.follow(now);
-            let ops = if l.cell.value_limit == LOW { 5 } else { 16 };
+            let ops = if l.cell.ledger.value_limit == LOW { 5 } else { 16 };
             let batch = (l.store && !l.writing).then(|| l.cell.batch(ops)).flatten();
             let ask = if l.store { l.cell.links.unread(2) } else { vec![] };
             for d in direct {
@@ -571,7 +574,7 @@
         let waiting = std::mem::take(&mut l.waiting);
         let mut out = vec![];
         for (i, at, tally) in waiting {
-            let Some(mid) = l.cell.by_name.get(&format!("n-{i:03}")).copied() else { continue };
+            let Some(mid) = l.cell.machines.id(&format!("n-{i:03}")) else { continue };
             if lead && !l.cell.orders_ready(mid) {
                 l.waiting.push((i, at, tally));
             } else if let Some(o) = l.cell.orders(mid, at, now, lead) {
@@ -603,7 +606,7 @@
             let cell = &self.leaders[k].cell;
             let Some(shown) = cell.show(uid) else {
                 let final_on_record = self.store.contains_key(&format!("f/{uid}"));
-                let known = cell.by_uid.contains_key(uid.as_str()) || final_on_record;
+                let known = cell.jobs.has(uid.as_str()) || final_on_record;
                 assert!(known || !self.accepted.contains(uid), "forgotten: {uid}");
                 continue;
             };
@@ -735,7 +738,7 @@
                 match outcome {
                     Ok(rev) => {
                         l.cell.applied(&batch, rev);
-                        l.cell.alone = false;
+                        l.cell.ledger.alone = false;
                         l.cell.follow(now);
                     }
                     Err(keys) if keys.iter().any(|k| k == "c/leader") => l.renewed = 0,
@@ -811,7 +814,7 @@
             };
             if let Some((named, names)) = named {
                 let (settings, flavors) = (cell.settings.clone(), cell.flavors.clone());
-                let spec = jobs::admit_shape(&body, &mut cell.names, &flavors, &settings);
+                let spec = admit_shape(&body, &mut cell.names, &flavors, &settings);
                 cell.take_in(spec.expect("valid"), body.clone(), names, now, now);
                 body.awaits = Some(named);
                 self.submitted.insert(body.uid.clone(), body);
@@ -825,8 +828,7 @@
             let named = body.awaits.take().unwrap_or_default();
             let read = self.read(&named);
             let cell = &mut self.leaders[k].cell;
-            let known = cell.by_uid.contains_key(body.uid.as_str())
-                || cell.finals.contains_key(body.uid.as_str());
+            let known = cell.jobs.has(body.uid.as_str()) || cell.finals.has(body.uid.as_str());
             let names = match cell.look_at_awaits(&named, &read) {
                 Awaits::Open(open) => Some((open, false)),
                 Awaits::Cancelled => Some((vec![], true)),
@@ -834,7 +836,7 @@
             };
             if let Some(names) = names.filter(|_| !known) {
                 let (settings, flavors) = (cell.settings.clone(), cell.flavors.clone());
-                let spec = jobs::admit_shape(&body, &mut cell.names, &flavors, &settings);
+                let spec = admit_shape(&body, &mut cell.names, &flavors, &settings);
                 cell.take_in(spec.expect("valid"), body, names, now, now);
             }
         }
@@ -842,7 +844,7 @@
             let n = self.rng.random_range(0..self.submitted.len());
             let uid = format!("wk-{n:06}");
             let cell = &mut self.leaders[k].cell;
-            if let Some(id) = cell.by_uid.get(uid.as_str()).copied() {
+            if let Some(id) = cell.jobs.id(uid.as_str()) {
                 cell.cancel(id, now);
                 self.asked_to_cancel.insert(uid);
             }
--- a/crates/core/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -2,15 +2,19 @@
 //! from `fixtures/production.txt`, made by that version's own code; what it would read and write
 //! again of this version's records is told by its structures, restated here.
 
-use copperhaven_core::cell::{Cell, Key};
-use copperhaven_core::fleet::{Flavor, WireFlavor};
-use copperhaven_core::jobs::{JobBody, Precedence, Shape, admit_shape};
-use copperhaven_core::names::{JobId, Names};
+use copperhaven_core::admission::shape::admit_shape;
 use copperhaven_core::records::*;
 use copperhaven_core::settings::Settings;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::fleet::Flavor;
+use copperhaven_core::state::ledger::Key;
+use copperhaven_core::state::names::{JobId, Names};
 use copperhaven_core::takeover::{Records, rebuild};
-use copperhaven_core::workers::{Order, Parcel, Report, Taken};
+use copperhaven_core::workers::reports::Taken;
+use copperhaven_wire::cloud::WireFlavor;
 use copperhaven_wire::encode;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::workers::{Order, Parcel, Report};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -69,7 +73,7 @@
         types.berths.iter().map(|w: &WireFlavor| Flavor::from_wire(w, &mut names)).collect();
     let leader = Cond { path: "c/leader".into(), stamp: 50 };
     let mut c = Cell::new(Arc::new(settings), TERM, leader, T0, names, flavors);
-    c.value_limit = value_limit;
+    c.ledger.value_limit = value_limit;
     c
 }
 
@@ -98,7 +102,7 @@
     for rev in 0..100 {
         let Some(batch) = c.batch(5) else { return out };
         assert!(batch.apply.len() <= 5 && batch.when.len() <= 20);
-        assert!(batch.apply.iter().all(|x| x.bytes() <= c.value_limit));
+        assert!(batch.apply.iter().all(|x| x.bytes() <= c.ledger.value_limit));
         c.applied(&batch, 2000 + rev);
         out.extend(batch.apply);
     }
@@ -164,7 +168,10 @@
     let mut c = cell(8192);
     rebuild(&mut c, left_by_production(), T0, T0);
     // An array half of which is done, scattered, the rest on a machine; a cancelled one.
-    let (array, ended) = (&c.jobs[&c.by_uid["wk-000412"]], &c.jobs[&c.by_uid["wk-000500"]]);
+    let (array, ended) = (
+        &c.jobs[&c.jobs.id("wk-000412").expect("known")],
+        &c.jobs[&c.jobs.id("wk-000500").expect("known")],
+    );
     assert_eq!((array.done.len(), array.onto.len(), array.waiting.len()), (60, 60, 0));
     assert!(ended.cancelled() && ended.waiting.is_empty());
     assert_eq!(c.show("wk-000412").expect("known").status, "queued");
@@ -179,7 +186,7 @@
     let long = Record::Machine(read("m/n-000231")).bytes();
     let mut c = cell(long - 1);
     rebuild(&mut c, left_by_production(), T0, T0);
-    let mid = c.by_name["n-000231"];
+    let mid = c.machines.id("n-000231").expect("known");
     let others = commit(&mut c);
     assert!(others.iter().all(|x| x.path() != "m/n-000231"));
     submit(&mut c, "wk-000600", |_| ());
@@ -199,9 +206,9 @@
     c.place(T0 + 1000);
     let written = commit(&mut c);
     assert!(written.iter().any(|x| x.path() == "j/wk-000600"), "users' answers go on");
-    assert!(c.held_back.contains(&Key::Machine(mid)), "and this one waits");
+    assert!(c.ledger.is_held_back(&Key::Machine(mid)), "and this one waits");
     c.place(T0 + 2000);
-    let new = c.by_uid["wk-000600"];
+    let new = c.jobs.id("wk-000600").expect("known");
     assert!(!c.machines[&mid].entries.contains_key(&(new, 0)), "nothing is added meanwhile");
     // A task for it goes to another machine.
     c.on_report(&report("n-000300", 1, vec![]), T0 + 2500);
@@ -212,7 +219,7 @@
     c.on_report(&report("n-000231", 6, left), T0 + 3000);
     c.touch(Key::Machine(mid));
     assert!(commit(&mut c).iter().any(|x| x.path() == "m/n-000231"));
-    assert!(c.held_back.is_empty());
+    assert!(c.ledger.held_back() == 0);
 }
 
 #[test]
@@ -245,14 +252,14 @@
     read.jobs.push(("j/wk-000700".into(), job, 1));
     let mut next = cell(2048);
     rebuild(&mut next, read, T0, T0);
-    let job = &next.jobs[&next.by_uid["wk-000700"]];
+    let job = &next.jobs[&next.jobs.id("wk-000700").expect("known")];
     assert_eq!((job.done.len(), job.waiting.len()), (750, 750));
     // All that was written goes when the job is over.
-    let id = next.by_uid["wk-000700"];
+    let id = next.jobs.id("wk-000700").expect("known");
     next.cancel(id, T0);
     commit(&mut next);
     let dropped = commit(&mut next);
-    assert!(next.stamps.keys().all(|p| !p.starts_with("d/")), "{dropped:?}");
+    assert!(next.ledger.paths().all(|p| !p.starts_with("d/")), "{dropped:?}");
 }
 
 #[test]
@@ -279,7 +286,7 @@
         }
     }
     assert!((1..6).contains(&refused), "{refused}");
-    assert_eq!(c.commits.too_large, refused);
+    assert_eq!(c.ledger.commits.too_large, refused);
     assert!(c.show("wk-4").is_some() && c.done_saved(id, 1498));
 }
 
@@ -346,7 +353,7 @@
     assert_eq!(seen.job.berths, Some(vec![]));
     assert!(!seen.cancelled);
     // Once nothing is missing it is a job like any other, for production, too.
-    let one = c.by_uid["wk-1"];
+    let one = c.jobs.id("wk-1").expect("known");
     c.task_done(one, 0);
     commit(&mut c);
     c.follow(T0 + 5000);
@@ -370,8 +377,8 @@
     // Old leads, new takes over and finishes some, old takes over again and reads the same.
     let mut c = cell(2048);
     rebuild(&mut c, left_by_production(), T0, T0);
-    let id = c.by_uid["wk-000412"];
-    let mid = c.by_name["n-000231"];
+    let id = c.jobs.id("wk-000412").expect("known");
+    let mid = c.machines.id("n-000231").expect("known");
     let attempt = c.machines[&mid].entries.values().map(|e| e.attempt).max().expect("some");
     let ends = |task: u32| Parcel {
         parcel: format!("wk-000412/{task}"),
