--- a/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -1,9 +1,11 @@
 //! Figures for those who watch the service, in the OpenMetrics text format, on `cluster_listen`.
 //! They are gathered when asked for, so that nobody pays for them in between.
 
-use crate::admission::nu;
-use crate::names::TypeId;
 use crate::node::Node;
+use copperhaven_core::admission::index::{ln_meet, nu};
+use copperhaven_core::state::job::Job;
+use copperhaven_core::state::machine::Machine;
+use copperhaven_core::state::names::{TeamId, TypeId};
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -113,30 +115,33 @@
             for (k, flavor) in c.flavors.iter().enumerate() {
                 let pool = z * c.flavors.len() + k;
                 let labels = vec![("zone", zone.to_string()), ("type", flavor.label.clone())];
-                let routed = |j: &crate::jobs::Job| j.routed.get(pool).copied().unwrap_or(0);
+                let routed = |j: &Job| j.routed.get(pool).copied().unwrap_or(0);
                 let x: u32 = c.jobs.values().map(routed).sum();
-                let here = |m: &&crate::workers::Machine| {
+                let here = |m: &&Machine| {
                     m.zone.ix() == z && m.kind == TypeId::from(k) && m.usable(now, silence)
                 };
                 let m = c.machines.values().filter(here).count() as f64 * flavor.cpus;
                 waiting.get_or_create(&labels).set(f64::from(x));
-                let value = crate::admission::ln_meet(m, f64::from(x), 1.0 / 60.0, 1.0 / span);
+                let value = ln_meet(m, f64::from(x), 1.0 / 60.0, 1.0 / span);
                 index.get_or_create(&labels).set(nu(value));
             }
         }
         for (t, team) in c.settings.deployment.teams.iter().enumerate() {
-            usage.get_or_create(&vec![("team", team.name.clone())]).set(c.usage[t].cpus);
+            usage
+                .get_or_create(&vec![("team", team.name.clone())])
+                .set(c.teams.usage(TeamId::from(t)).cpus);
         }
-        dirty.get_or_create(&none).set(c.dirty.len() as f64);
-        writes.get_or_create(&none).set(c.commits.writes as f64);
-        held.get_or_create(&none).set(c.held_back.len() as f64);
-        for (why, n) in
-            [("too large", c.commits.too_large), ("too many changes", c.commits.too_many)]
-        {
+        dirty.get_or_create(&none).set(c.ledger.unwritten() as f64);
+        writes.get_or_create(&none).set(c.ledger.commits.writes as f64);
+        held.get_or_create(&none).set(c.ledger.held_back() as f64);
+        for (why, n) in [
+            ("too large", c.ledger.commits.too_large),
+            ("too many changes", c.ledger.commits.too_many),
+        ] {
             writes_refused.get_or_create(&vec![("why", why.into())]).set(n as f64);
         }
         for (name, q) in [("0.5", 0.5), ("0.99", 0.99), ("1", 1.0)] {
-            let s = c.commits.micros.value_at_quantile(q) as f64 / 1e6;
+            let s = c.ledger.commits.micros.value_at_quantile(q) as f64 / 1e6;
             latency.get_or_create(&vec![("quantile", name.into())]).set(s);
         }
     });
