--- /dev/null
+++ b/crates/controller/src/dealings.rs
@@ -0,0 +1,132 @@
+//! The leader's dealings with the cloud: rentals, returns, lists.
+
+use crate::node::Node;
+use crate::store::Outcome;
+use copperhaven_core::pace::Pace;
+use copperhaven_core::records::{
+    Change, Cond, LEADER, PROVIDED, ProvidedRecord, Record, RentalRecord,
+};
+use copperhaven_core::state::names::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Counts the machines that are there before the service has ever rented any, and records their
+/// number. None: not known yet.
+async fn survey(node: &Node, term: u64) -> Option<u32> {
+    let hosts = node.cloud.list().await?;
+    let now = node.now();
+    let (machines, stamp) = node.with_cell(term, |c, _| {
+        c.listed(&hosts, now);
+        (c.provided(&hosts), c.ledger.leader.stamp)
+    })?;
+    let when = [Cond { path: LEADER.into(), stamp }, Cond { path: PROVIDED.into(), stamp: 0 }];
+    let v = Record::Provided(ProvidedRecord { machines });
+    let apply = [Change::Put { put: PROVIDED.into(), v, charter: None }];
+    match node.store.commit(&when, &apply).await {
+        Outcome::Applied(_) => Some(machines),
+        // An earlier try without an answer may have been applied.
+        _ => Some(node.store.get::<ProvidedRecord>(PROVIDED).await.ok()??.0.machines),
+    }
+}
+
+async fn rent(node: Arc<Node>, term: u64, name: String, record: RentalRecord) {
+    let answer = node.cloud.rent(&name, &record).await;
+    let now = node.now();
+    match answer {
+        Ok(hearths) => {
+            node.with_cell(term, |c, _| c.rented(&name, hearths, now));
+        }
+        Err(e) => {
+            tracing::debug!("rental {name}: {e}");
+            node.with_cell(term, |c, _| c.rental_unanswered(&name, now));
+        }
+    }
+    node.kick();
+}
+
+async fn give_back(node: Arc<Node>, term: u64, names: Vec<String>) {
+    if node.cloud.give_back(&names).await {
+        node.with_cell(term, |c, _| c.returned(&names));
+        node.kick();
+    }
+}
+
+async fn take_list(node: Arc<Node>, term: u64) {
+    if let Some(hosts) = node.cloud.list().await {
+        let now = node.now();
+        node.with_cell(term, |c, _| c.listed(&hosts, now));
+        node.kick();
+    }
+}
+
+const STEP: Duration = Duration::from_millis(150);
+
+const LIST_MS: u64 = 2500;
+
+/// Plans look at all that waits and runs.
+const PLAN_MS: u64 = 450;
+
+/// The leader's dealings with the cloud. Returns go first, since they may free tasks, then
+/// rentals, several at once; dropped with the term, which any answer that comes later is held
+/// against.
+pub async fn run(node: Arc<Node>, term: u64) {
+    let mut pace = Pace::new(node.settings.deployment.cloud.rps, node.now());
+    let mut rentals = tokio::task::JoinSet::new();
+    let (mut returning, mut listing) = (tokio::task::JoinSet::new(), tokio::task::JoinSet::new());
+    let (mut listed, mut planned, mut plan_gap) = (0u64, 0u64, PLAN_MS);
+    loop {
+        tokio::time::sleep(STEP).await;
+        let now = node.now();
+        pace.refill(now);
+        while rentals.try_join_next().is_some() {}
+        while returning.try_join_next().is_some() {}
+        while listing.try_join_next().is_some() {}
+        if node.with_cell(term, |c, lead| lead && c.fleet.provided.is_none()) == Some(true) {
+            if pace.take()
+                && let Some(n) = survey(&node, term).await
+            {
+                tracing::info!("{n} machines are provided");
+                node.with_cell(term, |c, _| c.fleet.provided = Some(n));
+            }
+            continue;
+        }
+        let (idle, left) = (returning.is_empty(), pace.left());
+        let reached = node.reached_zones(now);
+        let plan = node.with_cell(term, |c, lead| {
+            if !lead || left == 0 {
+                return (vec![], vec![]);
+            }
+            if now < planned + plan_gap {
+                let back = if idle { c.due_returns() } else { vec![] };
+                let most = left - usize::from(!back.is_empty());
+                return (back, c.due_rentals(now, most));
+            }
+            planned = now;
+            c.plan_returns(now);
+            let zones: Vec<ZoneId> = reached.iter().filter_map(|z| c.names.zones.get(z)).collect();
+            c.watch_zones(&zones, now);
+            c.watch_boots(now);
+            c.plan_rentals(now);
+            let back = if idle { c.due_returns() } else { vec![] };
+            let most = left - usize::from(!back.is_empty());
+            (back, c.due_rentals(now, most))
+        });
+        let Some((back, rent_now)) = plan else { return };
+        if planned == now {
+            // With much to look at, less often.
+            plan_gap = ((node.now() - now) * 8).clamp(PLAN_MS, 8 * PLAN_MS);
+        }
+        node.kick();
+        if !back.is_empty() && pace.take() {
+            returning.spawn(give_back(node.clone(), term, back));
+        }
+        for (name, record) in rent_now {
+            pace.take();
+            rentals.spawn(rent(node.clone(), term, name, record));
+        }
+        if now > listed + LIST_MS && listing.is_empty() && pace.take() {
+            listed = now;
+            listing.spawn(take_list(node.clone(), term));
+        }
+    }
+}
--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -1,7 +1,8 @@
 //! The door for users, workers and health checks.
 
-use crate::cluster::Op;
-use crate::node::{Node, Reply};
+use crate::cluster::frames::Op;
+use crate::node::Node;
+use crate::reply::Reply;
 use copperhaven_wire::limits::MOST_BODY;
 use poem::http::StatusCode;
 use poem::listener::{Acceptor, Listener, TcpListener};
--- /dev/null
+++ b/crates/controller/src/leadership/commits.rs
@@ -0,0 +1,112 @@
+//! Group commit: one transaction at a time.
+
+use crate::leadership::ms;
+use crate::node::Node;
+use crate::store::Outcome;
+use copperhaven_core::caution::Caution;
+use copperhaven_core::records::*;
+use serde::de::IgnoredAny;
+use tokio::time::sleep;
+
+/// Changes that are left to users' answers: so many seconds' worth.
+const RESERVE_S: f64 = 0.1;
+
+/// Group commit: one transaction at a time, one put for each dirty key, paced below the state
+/// service's limit. Ends when the leader key is another's.
+pub(super) async fn commits(node: &Node, term: u64) -> &'static str {
+    let limits = &node.settings.deployment.state;
+    let most = (limits.write_rps() * 0.5).max(4.0);
+    let (mut tokens, mut at) = (most, node.now());
+    let mut caution = Caution::new(limits.txn_ops());
+    loop {
+        let now = node.now();
+        let rate = limits.write_rps() * 0.95 * caution.pace;
+        tokens = (tokens + rate * (now - at) as f64 / 1000.0).min(most);
+        at = now;
+        if tokens < 2.0 {
+            sleep(ms(20)).await;
+            continue;
+        }
+        // What users wait for finds changes left when others have used up the rest.
+        let reserve = (limits.write_rps() * RESERVE_S) as usize;
+        let spare = (tokens as usize).saturating_sub(reserve);
+        let ops = (tokens as usize).min(caution.ops);
+        // The others go several at a time: transactions cost processor time.
+        let users = node.with_cell(term, |c, _| c.ledger.users_wait());
+        if users == Some(false) && spare < 4 {
+            sleep(ms(20)).await;
+            continue;
+        }
+        let reserve = ops.saturating_sub(spare);
+        let batch = node.with_cell(term, |c, _| c.batch_with_reserve(ops, reserve));
+        let Some(batch) = batch else { return "superseded" };
+        let Some(batch) = batch else {
+            let more = node.with_cell(term, |c, _| c.ledger.unwritten() > c.ledger.held_back());
+            if more == Some(true) {
+                sleep(ms(20)).await;
+                continue;
+            }
+            node.dirty.notified().await;
+            // What else the same moment changes comes along.
+            sleep(ms(3)).await;
+            continue;
+        };
+        tokens -= batch.apply.len() as f64;
+        let begin = tokio::time::Instant::now();
+        let outcome = node.store.commit(&batch.when, &batch.apply).await;
+        node.with_cell(term, |c, _| {
+            c.ledger.commits.writes += batch.apply.len() as u64;
+            c.ledger.commits.micros.saturating_record(begin.elapsed().as_micros() as u64);
+        });
+        match outcome {
+            Outcome::Applied(rev) => {
+                caution.applied();
+                let now = node.now();
+                node.with_cell(term, |c, _| {
+                    c.applied(&batch, rev);
+                    c.ledger.alone = caution.alone > 0;
+                    c.follow(now);
+                });
+                node.bump();
+            }
+            Outcome::Conflict(keys) => {
+                if keys.iter().any(|k| k == LEADER) {
+                    return "the leader key is another's";
+                }
+                // An earlier transaction of unknown outcome was applied after all: take the
+                // versions as they are and write again.
+                for key in keys {
+                    if key.starts_with("f/") {
+                        if let Ok(seen) = node.store.get::<FinalRecord>(&key).await {
+                            let (last, stamp) = seen.unzip();
+                            node.with_cell(term, |c, _| c.read_back(&key, stamp, last));
+                        }
+                    } else if let Ok(seen) = node.store.get::<IgnoredAny>(&key).await {
+                        let stamp = seen.map(|(_, stamp)| stamp);
+                        node.with_cell(term, |c, _| c.read_back(&key, stamp, None));
+                    }
+                }
+                node.bump();
+            }
+            Outcome::NoLease => return "its lease has run out",
+            Outcome::Malformed => {
+                // One record that can't be written must not keep all others from it.
+                node.with_cell(term, |c, _| {
+                    let sole = c.malformed(&batch);
+                    caution.malformed(&batch, sole);
+                    c.ledger.alone = caution.alone > 0;
+                });
+                node.bump();
+                sleep(ms(100)).await;
+            }
+            Outcome::TooMany => {
+                tracing::warn!("the state service refuses {} changes: too many", batch.apply.len());
+                caution.pace = (caution.pace * 0.8).max(0.2);
+                node.with_cell(term, |c, _| c.ledger.commits.too_many += 1);
+                sleep(ms(250)).await;
+            }
+            Outcome::Refused => sleep(ms(150)).await,
+            Outcome::Unknown => sleep(ms(100)).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/leadership/load.rs
@@ -0,0 +1,77 @@
+//! Reading the records at a takeover, and how jobs ended that others wait for.
+
+use crate::leadership::ms;
+use crate::node::Node;
+use crate::store::StoreError;
+use copperhaven_core::records::*;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::takeover::{Records, rebuild};
+use tokio::time::sleep;
+
+/// Reads every record and puts the cell together. What machines may hold is a superset.
+pub(super) async fn load(node: &Node, term: u64, stamp: u64) -> Result<(), StoreError> {
+    let jobs = node.store.list::<JobRecord>("j/").await?;
+    let done = node.store.list::<DoneRecord>("d/").await?;
+    let machines = node.store.list::<MachineRecord>("m/").await?;
+    let rentals = node.store.list::<RentalRecord>("r/").await?;
+    let links = node.store.list::<LinksRecord>("a/").await?;
+    let provided = node.store.get::<ProvidedRecord>(PROVIDED).await?;
+    let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
+    let leader = Cond { path: LEADER.into(), stamp };
+    let now = node.now();
+    let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
+    let read = Records { jobs, done, machines, rentals, links };
+    rebuild(&mut cell, read, now, Node::wall_ms());
+    cell.fleet.provided = provided.map(|(p, _)| p.machines);
+    let (j, m) = (cell.jobs.len(), cell.machines.len());
+    tracing::info!("term {term} has {j} open jobs and {m} machines on record");
+    node.state.lock().expect("lock").cell = Some(cell);
+    Ok(())
+}
+
+/// Reads how jobs ended that others still wait for, a few at a time: after a takeover no final
+/// record is in memory.
+pub(super) async fn read_ends(node: &Node, term: u64) -> &'static str {
+    loop {
+        let Some(some) = node.with_cell(term, |c, _| c.links.unread(4)) else {
+            return "superseded";
+        };
+        let pause = if some.is_empty() { 200 } else { 20 };
+        let ends = some.iter().map(|uid| async move {
+            let seen = node.store.get::<FinalRecord>(&format!("f/{uid}")).await;
+            (uid, seen)
+        });
+        for end in ends {
+            let (uid, seen) = end.await;
+            let Ok(seen) = seen else { break };
+            let now = node.now();
+            node.with_cell(term, |c, _| {
+                c.links.read(uid, seen.map(|(last, _)| last.done));
+                c.follow(now);
+            });
+        }
+        sleep(ms(pause)).await;
+    }
+}
+
+/// Keeps the machine types for controllers that start while the cloud doesn't answer. Nothing
+/// depends on the outcome.
+pub(super) async fn record_flavors(node: &Node, stamp: u64) {
+    let Some(berths) = node.state.lock().expect("lock").flavors.clone() else { return };
+    let Ok(seen) = node.store.get::<FlavorsRecord>(FLAVORS).await else { return };
+    if seen.as_ref().is_some_and(|(r, _)| r.berths == berths) {
+        return;
+    }
+    let when = [
+        Cond { path: LEADER.into(), stamp },
+        Cond { path: FLAVORS.into(), stamp: seen.map_or(0, |(_, s)| s) },
+    ];
+    let v = Record::Flavors(FlavorsRecord { berths });
+    let (bytes, most) = (v.bytes(), node.settings.deployment.state.value_bytes());
+    if bytes > most {
+        tracing::warn!("the machine types take {bytes} bytes, a value {most}: not recorded");
+        return;
+    }
+    let apply = [Change::Put { put: FLAVORS.into(), v, charter: None }];
+    node.store.commit(&when, &apply).await;
+}
--- /dev/null
+++ b/crates/controller/src/leadership/mod.rs
@@ -0,0 +1,179 @@
+//! Leadership: the term, the leader's lease, taking over, and the leader's loops.
+
+pub mod commits;
+pub mod load;
+pub mod ticks;
+
+use crate::dealings;
+use crate::leadership::{
+    commits::commits,
+    load::{load, read_ends, record_flavors},
+    ticks::ticks,
+};
+use crate::node::Node;
+use crate::store::Outcome;
+use copperhaven_core::records::*;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Follows, stands for election when nobody leads, leads; for ever.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        if node.state.lock().expect("lock").flavors.is_none() {
+            // Workers' leases run while nobody leads: the types that an earlier leader recorded
+            // are at hand at once, also when the cloud is in trouble. They are brought up to date
+            // beside.
+            let recorded = node.store.get::<FlavorsRecord>(FLAVORS).await;
+            node.state_service(recorded.as_ref().err());
+            if let Ok(Some((r, _))) = recorded {
+                node.state.lock().expect("lock").flavors = Some(r.berths);
+                let node = node.clone();
+                tokio::spawn(async move { refresh_flavors(&node).await });
+            } else if !refresh_flavors(&node).await {
+                sleep(ms(500)).await;
+            }
+            continue;
+        }
+        let leader = node.store.get::<LeaderRecord>(LEADER).await;
+        node.state_service(leader.as_ref().err());
+        match leader {
+            Ok(Some((record, _))) => {
+                let ix = node.cluster.members.iter().position(|m| *m == record.member);
+                node.heard_term(record.term, ix);
+                sleep(ms(350 + rand::random::<u64>() % 100)).await;
+            }
+            Ok(None) => {
+                // Whoever neither peers nor workers reach leaves the others the first tries.
+                if !node.of_use(node.now()) {
+                    sleep(ms(2000)).await;
+                    if !matches!(node.store.get::<LeaderRecord>(LEADER).await, Ok(None)) {
+                        continue;
+                    }
+                }
+                if let Some((term, stamp, lease, sent)) = elect(&node).await {
+                    lead(&node, term, stamp, lease, sent).await;
+                }
+                sleep(ms(50 + rand::random::<u64>() % 150)).await;
+            }
+            Err(_) => sleep(ms(300)).await,
+        }
+    }
+}
+
+/// Asks the cloud for the machine types and their prices, for this node's next term.
+async fn refresh_flavors(node: &Node) -> bool {
+    match node.cloud.flavors().await {
+        Some(f) if !f.is_empty() => {
+            node.state.lock().expect("lock").flavors = Some(f);
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Raises the term and takes the leader key in one transaction. An unknown outcome is read back.
+async fn elect(node: &Node) -> Option<(u64, u64, u64, u64)> {
+    let ttl = node.settings.tuning.leader_lease_ms;
+    let (old, term_stamp) = match node.store.get::<TermRecord>(TERM).await.ok()? {
+        Some((t, stamp)) => (t.term, stamp),
+        None => (0, 0),
+    };
+    let sent = node.now();
+    let lease = node.store.lease(ttl).await.ok()?;
+    // A term seen anywhere is never given out again, whatever the store says.
+    let term = old.max(node.state.lock().expect("lock").top_term) + 1;
+    let record = LeaderRecord { member: node.settings.member.clone(), term, nonce: rand::random() };
+    let when =
+        [Cond { path: TERM.into(), stamp: term_stamp }, Cond { path: LEADER.into(), stamp: 0 }];
+    let apply = [
+        Change::Put { put: TERM.into(), v: Record::Term(TermRecord { term }), charter: None },
+        Change::Put { put: LEADER.into(), v: Record::Leader(record.clone()), charter: Some(lease) },
+    ];
+    match node.store.commit(&when, &apply).await {
+        Outcome::Applied(rev) => return Some((term, rev, lease, sent)),
+        Outcome::Unknown => {
+            if let Ok(Some((seen, stamp))) = node.store.get::<LeaderRecord>(LEADER).await
+                && seen == record
+            {
+                return Some((term, stamp, lease, sent));
+            }
+        }
+        _ => {}
+    }
+    // Without the lease a late put fails.
+    node.store.end_lease(lease).await;
+    None
+}
+
+async fn lead(node: &Arc<Node>, term: u64, stamp: u64, lease: u64, sent: u64) {
+    tracing::info!("leading: term {term} won, no leader was there");
+    node.heard_term(term, Some(node.cluster.me));
+    node.state.lock().expect("lock").renewed = sent;
+    let why = tokio::select! {
+        why = renew(node, term, lease) => why,
+        why = govern(node, term, stamp) => why,
+    };
+    {
+        let mut state = node.state.lock().expect("lock");
+        state.cell = None;
+        if state.leader.is_some_and(|(_, ix)| ix == node.cluster.me) {
+            state.leader = None;
+        }
+    }
+    node.bump();
+    tracing::info!("leading no more: term {term}, {why}");
+    node.store.end_lease(lease).await;
+}
+
+/// Renews the lease on a connection of its own; ends when the lease is lost, when holding on is
+/// no longer allowed, or when a newer term was seen.
+async fn renew(node: &Node, term: u64, lease: u64) -> &'static str {
+    let ttl = node.settings.tuning.leader_lease_ms;
+    loop {
+        let sent = node.now();
+        let extended = node.store.extend(lease, ms(ttl / 3)).await;
+        node.state_service(extended.as_ref().err());
+        let failing = extended.is_err();
+        match extended {
+            Ok(true) => node.state.lock().expect("lock").renewed = sent,
+            Ok(false) => return "its lease has run out",
+            Err(_) => {}
+        }
+        let (renewed, top) = {
+            let state = node.state.lock().expect("lock");
+            (state.renewed, state.top_term)
+        };
+        if top > term {
+            return "a newer term was seen";
+        }
+        if node.now() > renewed + node.settings.holding_ms() {
+            return "the state service was out of reach for too long";
+        }
+        sleep(ms(if failing { 150 } else { ttl / 4 })).await;
+    }
+}
+
+async fn govern(node: &Arc<Node>, term: u64, stamp: u64) -> &'static str {
+    loop {
+        match load(node, term, stamp).await {
+            Ok(()) => break,
+            Err(e) => {
+                tracing::warn!("reading the records: {e}");
+                sleep(ms(200)).await;
+            }
+        }
+    }
+    node.bump();
+    record_flavors(node, stamp).await;
+    tokio::select! {
+        why = commits(node, term) => why,
+        why = read_ends(node, term) => why,
+        why = ticks(node, term) => why,
+        _ = dealings::run(node.clone(), term) => "superseded",
+    }
+}
--- /dev/null
+++ b/crates/controller/src/leadership/ticks.rs
@@ -0,0 +1,113 @@
+//! What time brings, and what is sent straight to workers.
+
+use crate::leadership::ms;
+use crate::node::Node;
+use copperhaven_core::state::machine::Direct;
+use copperhaven_wire::workers::{Orders, Report};
+use std::sync::Arc;
+use tokio::time::sleep;
+
+/// A leader that has heard nobody for this long gives way: neither a peer, whose pongs come twice
+/// a second, nor any machine. Each reports every `report_ms`, give or take a quarter, and after a
+/// takeover all of them at the same time.
+fn alone_ms(report_ms: u64) -> u64 {
+    (report_ms * 5 / 4 + 1000).max(2500)
+}
+
+/// How long workers may need to find a new leader.
+const FIND_MS: u64 = 4000;
+
+/// What time brings: leases that run out, pauses that end, orders to send.
+pub(super) async fn ticks(node: &Arc<Node>, term: u64) -> &'static str {
+    let mut beat = 0u64;
+    // Workers have to find a new leader first: their reports to the last one time out after 4 s.
+    let mut heard = node.now() + FIND_MS;
+    let mut peers = heard;
+    let mut deaf = false;
+    let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
+    loop {
+        let now = node.now();
+        beat += 1;
+        let direct = node.with_cell(term, |c, _| {
+            c.expire(now);
+            c.follow(now);
+            if beat.is_multiple_of(5) {
+                c.stir = true;
+            }
+            if beat.is_multiple_of(20) {
+                c.spot_slow(now);
+                c.judge(now);
+            }
+            // With no machines there is nobody to be heard.
+            let report = c.machines.values().map(|m| m.heard).max().unwrap_or(now);
+            (std::mem::take(&mut c.direct), report, c.machines.len())
+        });
+        let Some((mut direct, report, machines)) = direct else { return "superseded" };
+        node.place(term);
+        direct
+            .extend(node.with_cell(term, |c, _| std::mem::take(&mut c.direct)).unwrap_or_default());
+        let alone = alone_ms(report_ms);
+        heard = heard.max(report);
+        if (now > heard + alone) != deaf {
+            deaf = !deaf;
+            if deaf {
+                tracing::warn!("no worker is heard, {machines} machines should be up");
+            } else {
+                tracing::info!("workers are heard again");
+            }
+        }
+        // A leader that reaches the state service but nobody else is of no use to anybody. What
+        // workers tell others comes over peers.
+        if node.cluster.any_peer(now) {
+            peers = now;
+        }
+        if now > peers.max(heard) + alone {
+            return "neither workers nor peers are heard";
+        }
+        for d in direct {
+            let node = node.clone();
+            tokio::spawn(async move { send(&node, term, d).await });
+        }
+        if node.state.lock().expect("lock").top_term > term {
+            return "a newer term was seen";
+        }
+        node.kick();
+        sleep(ms(100)).await;
+    }
+}
+
+/// Sends halts, or just the new term, straight to a worker. Its answer proves nothing; it only
+/// speeds up what the next report will show.
+async fn send(node: &Node, term: u64, mut d: Direct) {
+    #[derive(serde::Serialize)]
+    struct Body<'a> {
+        shift: u64,
+        #[serde(flatten)]
+        orders: &'a Orders,
+    }
+    let orders = Orders { warrant: term, orders: std::mem::take(&mut d.orders) };
+    let mut shift = d.shift;
+    for _ in 0..2 {
+        let body = Body { shift, orders: &orders };
+        let answer = node.workers.post(&d.addr, "/commands", &body, ms(2000)).await;
+        let Ok(answer) = answer else { return };
+        match (answer.status, answer.decode::<Report>()) {
+            (409, Some(r)) if r.warrant > term => return node.heard_term(r.warrant, None),
+            (409, Some(r)) if r.shift != shift => shift = r.shift,
+            _ => return,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_leader_that_hears_nobody_gives_way_soon() {
+        // Six seconds before, whatever the deployment. Reports may all come at the same time.
+        for (report_ms, ms) in [(1000, 2500), (3000, 4750), (4000, 6000)] {
+            assert_eq!(alone_ms(report_ms), ms, "{report_ms}");
+        }
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -5,9 +5,12 @@
 pub mod client;
 pub mod cloud;
 pub mod cluster;
+pub mod dealings;
 pub mod front;
 pub mod http;
 pub mod leadership;
 pub mod metrics;
 pub mod node;
+pub mod peers;
+pub mod reply;
 pub mod store;
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,7 +1,7 @@
 //! Reads the settings and wires the parts together.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use copperhaven::{client, cluster, front, leadership, node::Node};
+use copperhaven::{client, front, leadership, node::Node, peers};
 use copperhaven_core::settings;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -99,7 +99,7 @@
     let ended = runtime.block_on(async {
         tokio::select! {
             r = front::run(node.clone()) => r,
-            r = cluster::run(node.clone()) => r,
+            r = peers::run(node.clone()) => r,
             () = leadership::run(node.clone()) => Ok(()),
         }
     });
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -57,7 +57,7 @@
         reach.get_or_create(&vec![("what", what.into())]).set(f64::from(u8::from(yes)));
     }
     let release = figure("release", "Release that each controller was last heard to run, 0: never");
-    let own = (node.settings.member.as_str(), crate::cluster::RELEASE);
+    let own = (node.settings.member.as_str(), crate::cluster::frames::RELEASE);
     for (member, r) in node.cluster.releases().chain([own]) {
         release.get_or_create(&vec![("member", member.into())]).set(f64::from(r));
     }
--- /dev/null
+++ b/crates/controller/src/node/lookups.rs
@@ -0,0 +1,85 @@
+//! What the records say of jobs that are not in memory; paced, so that users never use the state service up.
+
+use crate::node::Node;
+use crate::reply::Reply;
+use copperhaven_core::pipelines::awaits::Named;
+use copperhaven_core::records::{FinalRecord, JobRecord};
+use std::collections::HashSet;
+
+/// Waiting jobs that are looked at, without a leader, for one that somebody asks about.
+const WALK: usize = 6;
+
+impl Node {
+    /// May users' questions cost the state service `n` more requests now?
+    pub(super) fn may_look_up(&self, n: usize) -> bool {
+        let mut pace = self.lookups.lock().expect("lock");
+        pace.refill(self.now());
+        pace.left() >= n && (0..n).all(|_| pace.take())
+    }
+
+    /// Looks an id up that is not in memory: final jobs leave it. Err: no answer.
+    pub(super) async fn past(&self, term: u64, uid: &str) -> Result<Option<FinalRecord>, Reply> {
+        if self.lacks_state() {
+            return Err(Reply::later("the state service is out of reach", 1));
+        }
+        if !self.may_look_up(1) {
+            return Err(self.too_many(2));
+        }
+        match self.store.get::<FinalRecord>(&format!("f/{uid}")).await {
+            Ok(Some((record, _))) => {
+                self.with_cell(term, |c, _| c.finals.remember(uid.into(), record.clone()));
+                Ok(Some(record))
+            }
+            Ok(None) => Ok(None),
+            Err(_) => Err(Reply::later("the state service does not answer", 1)),
+        }
+    }
+
+    /// What the records say of a job that is not in memory. Err: no certain answer now.
+    pub(super) async fn look_up(&self, term: u64, uid: &str) -> Result<Named, Reply> {
+        match self.past(term, uid).await? {
+            Some(f) if f.done => return Ok(Named::Done),
+            Some(_) => return Ok(Named::Cancelled),
+            None => {}
+        }
+        if !self.may_look_up(1) {
+            return Err(self.too_many(2));
+        }
+        // Accepted under other settings it would be on record without being in memory.
+        match self.store.get::<serde::de::IgnoredAny>(&format!("j/{uid}")).await {
+            Ok(Some(_)) => Ok(Named::Open),
+            Ok(None) if self.leading(false) => Ok(Named::Never),
+            _ => Err(Reply::later("no certain answer about a job that it waits for", 1)),
+        }
+    }
+
+    /// Without a leader: is any of these jobs cancelled, or any that they wait for? A leader may
+    /// have told so of those that need it. None: that can't be told with a few look-ups.
+    pub(super) async fn any_cancelled(&self, on: Vec<String>) -> Option<bool> {
+        let mut asked = HashSet::new();
+        let mut next = on;
+        while let Some(uid) = next.pop() {
+            if !asked.insert(uid.clone()) {
+                continue;
+            }
+            if asked.len() > WALK || !self.may_look_up(2) {
+                return None;
+            }
+            // The open record first, as above.
+            let open = self.store.get::<JobRecord>(&format!("j/{uid}")).await.ok()?;
+            let last = self.store.get::<FinalRecord>(&format!("f/{uid}")).await.ok()?;
+            match (last, open) {
+                (Some((last, _)), _) if !last.done => return Some(true),
+                (None, Some((record, _))) if record.cancelled => return Some(true),
+                (None, Some((JobRecord { waits: Some(waits), .. }, _))) => {
+                    if waits.parts > 0 {
+                        return None;
+                    }
+                    next.extend(waits.on);
+                }
+                _ => {}
+            }
+        }
+        Some(false)
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node/questions.rs
@@ -0,0 +1,79 @@
+//! Questions about jobs.
+
+use crate::node::Node;
+use crate::reply::Reply;
+use copperhaven_core::questions::shown_final;
+use copperhaven_core::records::{FinalRecord, JobRecord};
+use copperhaven_wire::jobs::{self, Shown};
+
+impl Node {
+    /// What is known of a job in memory.
+    pub(super) fn known(&self, term: u64, uid: &str) -> Option<Option<Shown>> {
+        self.with_cell(term, |c, _| {
+            if c.jobs.has(uid) || c.finals.has(uid) { Some(c.show(uid)) } else { None }
+        })
+        .flatten()
+    }
+
+    pub(super) async fn show(&self, body: &[u8]) -> Reply {
+        let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
+        if !jobs::valid_uid(uid) {
+            return Reply::error(404, "unknown job");
+        }
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        if let Some(known) = self.known(term, uid) {
+            return match known {
+                Some(shown) => Reply::new(200, &shown),
+                None => Reply::later("being recorded", 1),
+            };
+        }
+        match self.past(term, uid).await {
+            Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
+            // Whatever was accepted and is not over should be in the memory of a leader in
+            // authority; what could not be read in (other settings now) is still on record.
+            Ok(None) if self.leading(false) && self.known(term, uid).is_none() => {
+                self.show_from_store(body).await
+            }
+            Ok(None) => Reply::later("no certain answer", 1),
+            Err(later) => later,
+        }
+    }
+
+    /// Without a leader the state service itself is asked: it is never older than an answer.
+    pub(super) async fn show_from_store(&self, body: &[u8]) -> Reply {
+        let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
+        if !jobs::valid_uid(uid) {
+            return Reply::error(404, "unknown job");
+        }
+        // Who lacks both the leader and the state service says so at once.
+        if self.lacks_state() {
+            return Reply { close: true, ..Reply::later("the state service is out of reach", 1) };
+        }
+        if !self.may_look_up(2) {
+            return self.too_many(2);
+        }
+        let later = Reply::later("no leader within reach", 1);
+        // The open record is read first: a job moves from there to the final ones, never back.
+        let open = match self.store.get::<JobRecord>(&format!("j/{uid}")).await {
+            Ok(open) => open,
+            Err(_) => return later,
+        };
+        match (self.store.get::<FinalRecord>(&format!("f/{uid}")).await, open) {
+            (Ok(Some((f, _))), _) => Reply::new(200, &shown_final(uid, &f)),
+            (Ok(None), Some((record, _))) => {
+                let cancelled = match (record.cancelled, record.waits) {
+                    (true, _) => Some(true),
+                    (false, None) => Some(false),
+                    (false, Some(waits)) if waits.parts == 0 => self.any_cancelled(waits.on).await,
+                    _ => None,
+                };
+                let Some(cancelled) = cancelled else { return later };
+                let why = Some("waiting for a leader".to_string());
+                let status = if cancelled { "aborted" } else { "queued" };
+                Reply::new(200, &Shown { why, ..Shown::new(uid, status) })
+            }
+            (Ok(None), None) => Reply::error(404, "unknown job"),
+            (Err(_), _) => later,
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node/reports.rs
@@ -0,0 +1,109 @@
+//! Workers' reports.
+
+use crate::cluster::frames::Op;
+use crate::node::Node;
+use crate::node::serve::NOT_ENTITLED;
+use crate::reply::Reply;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::workers::reports::Taken;
+use copperhaven_wire::workers::Report;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const REPORT_LIMIT: Duration = Duration::from_millis(1500);
+
+/// Workers wait 4 s for an answer: held, passed on and answered, a report stays below that.
+const REPORT_HELD: Duration = Duration::from_millis(1600);
+const REPORT_RETRY: Duration = Duration::from_millis(80);
+
+impl Node {
+    /// A worker whose report is turned away comes back a second later, and its lease may run out
+    /// meanwhile: while nobody leads (all have just started, or the leader was lost), its report
+    /// waits for a leader, as long as the worker still waits for the answer.
+    pub(super) async fn report_at_the_door(&self, body: &[u8]) -> Reply {
+        if let Some(foreman) = self.elsewhere() {
+            return Reply::new(421, &std::collections::BTreeMap::from([("foreman", foreman)]));
+        }
+        let end = Instant::now() + REPORT_HELD;
+        loop {
+            let reply = self.serve(Op::Report, body, 2).await;
+            if reply.status != NOT_ENTITLED || Instant::now() >= end {
+                return reply;
+            }
+            tokio::time::sleep(REPORT_RETRY).await;
+        }
+    }
+
+    /// Another controller that a worker had better report to.
+    pub(super) fn elsewhere(&self) -> Option<&str> {
+        if !self.leading(false) {
+            return None;
+        }
+        let now = self.now();
+        let mut doors = self.doors.lock().expect("lock");
+        doors.count(true, now);
+        let share = self.settings.deployment.limits.cpu_share;
+        if doors.sheds(self.cluster.members.len(), share, now) {
+            self.cluster.some_peer(now)
+        } else {
+            None
+        }
+    }
+
+    pub(super) async fn report(&self, body: &[u8]) -> Reply {
+        let Ok(report) = rmp_serde::from_slice::<Report>(body) else {
+            return Reply::error(400, "malformed report");
+        };
+        let none = Reply::error(NOT_ENTITLED, "no leader");
+        let Some(term) = self.term() else { return none };
+        let now = self.now();
+        let taken = self.with_cell(term, |c, _| c.on_report(&report, now));
+        let mid = match taken {
+            Some(Taken::Answer(mid)) => mid,
+            Some(Taken::NewerTerm(t)) => {
+                self.heard_term(t, None);
+                self.bump();
+                return Reply::later("a newer leader has been", 1);
+            }
+            Some(Taken::Malformed(why)) => {
+                tracing::warn!("report of {}: {why}", report.hearth);
+                return Reply::error(400, why);
+            }
+            Some(Taken::Stale) => return Reply::later("an older report", 1),
+            None => return none,
+        };
+        // Passes are dear; reports that come in close to one another share one.
+        let pause = self.with_cell(term, |c, lead| c.pass_pause(now).filter(|_| lead)).flatten();
+        if let Some(pause) = pause {
+            tokio::time::sleep(Duration::from_millis(pause)).await;
+        }
+        self.place(term);
+        let ready = |c: &mut Cell, lead: bool| (!lead || c.orders_ready(mid)).then_some(());
+        self.until(term, REPORT_LIMIT, ready).await;
+        if !self.leading(true) {
+            return none;
+        }
+        let now = self.now();
+        let at = (report.shift, report.tally);
+        match self.with_cell(term, |c, lead| c.orders(mid, at, now, lead)).flatten() {
+            Some(orders) => Reply::new(200, &orders),
+            None => Reply::later("a newer report has come in", 1),
+        }
+    }
+
+    /// A placement pass, if one is due.
+    pub fn place(&self, term: u64) {
+        let begin = self.now();
+        let placed = self.with_cell(term, |c, lead| {
+            let due = lead && c.pass_pause(begin) == Some(0);
+            if due {
+                c.place(begin);
+            }
+            due
+        });
+        if placed == Some(true) {
+            let took = self.now() - begin;
+            self.with_cell(term, |c, _| c.pass_took(took));
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node/standing.rs
@@ -0,0 +1,118 @@
+//! Who leads, with what authority, and whom this controller reaches.
+
+use crate::cluster::PeerView;
+use crate::node::{Node, State};
+use crate::store::StoreError;
+use copperhaven_core::settings::Member;
+
+/// A node that has reached no leader for this long is of no use to users: long enough for a new
+/// leader to be there after a crash.
+const UP_MS: u64 = 2500;
+
+/// Workers that have lost their node try the next one a second later: while nobody leads, one is
+/// heard at least so often at a node that they can reach.
+const WORKER_MS: u64 = 2000;
+
+impl Node {
+    pub(super) fn authority(&self, state: &State, now: u64) -> bool {
+        state.cell.as_ref().is_some_and(|c| c.term >= state.top_term)
+            && now < state.renewed + self.settings.tuning.leader_lease_ms
+    }
+
+    pub(super) fn holding(&self, state: &State, now: u64) -> bool {
+        state.cell.as_ref().is_some_and(|c| c.term >= state.top_term)
+            && now < state.renewed + self.settings.holding_ms()
+    }
+
+    pub(super) fn leading(&self, report: bool) -> bool {
+        let now = self.now();
+        let state = self.state.lock().expect("lock");
+        if report { self.holding(&state, now) } else { self.authority(&state, now) }
+    }
+
+    pub(super) fn leader(&self) -> Option<usize> {
+        self.state.lock().expect("lock").leader.map(|(_, ix)| ix)
+    }
+
+    /// Term and whether this node leads (or holds), for its peers.
+    pub fn standing(&self) -> (u64, bool) {
+        let now = self.now();
+        let state = self.state.lock().expect("lock");
+        match &state.cell {
+            Some(c) if self.holding(&state, now) => (c.term, true),
+            _ => (state.top_term, false),
+        }
+    }
+
+    pub fn heard_peer(&self, ix: usize, view: PeerView) {
+        self.heard_term(view.term, view.leads.then_some(ix));
+    }
+
+    pub fn heard_term(&self, term: u64, leader: Option<usize>) {
+        let mut state = self.state.lock().expect("lock");
+        if term > state.top_term {
+            state.top_term = term;
+        }
+        if let Some(ix) = leader
+            && state.leader.is_none_or(|(t, _)| term >= t)
+        {
+            state.leader = Some((term, ix));
+        }
+    }
+
+    /// Can requests be taken: is a leader within reach, or was one until a moment ago?
+    pub fn up(&self) -> bool {
+        self.up_at(self.now())
+    }
+
+    pub(super) fn up_at(&self, now: u64) -> bool {
+        let mut state = self.state.lock().expect("lock");
+        let reach = if state.cell.is_some() {
+            self.authority(&state, now)
+        } else {
+            state
+                .leader
+                .is_some_and(|(_, ix)| ix != self.cluster.me && self.cluster.can_reach(ix, now))
+        };
+        if reach {
+            state.reached = now;
+        }
+        state.reached > 0 && now < state.reached + UP_MS
+    }
+
+    /// Takes note of whether the state service answers this node, and tells when that changes.
+    pub fn state_service(&self, trouble: Option<&StoreError>) {
+        let now = self.now();
+        let mut state = self.state.lock().expect("lock");
+        match (trouble, state.no_state) {
+            (Some(e), None) => {
+                tracing::warn!("the state service is out of reach: {e}");
+                state.no_state = Some(now);
+            }
+            (None, Some(since)) => {
+                let s = now.saturating_sub(since) / 1000;
+                tracing::info!("the state service answers again, after {s} s");
+                state.no_state = None;
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn lacks_state(&self) -> bool {
+        self.state.lock().expect("lock").no_state.is_some()
+    }
+
+    /// Is it of use as a leader? Only if peers or workers reach it. A node that has just started
+    /// may not have been heard of yet.
+    pub fn of_use(&self, now: u64) -> bool {
+        let worker = self.state.lock().expect("lock").worker;
+        now < 5000 || self.cluster.any_peer(now) || (worker > 0 && now < worker + WORKER_MS)
+    }
+
+    /// Zones of the controllers that are within reach, this one's included.
+    pub fn reached_zones(&self, now: u64) -> Vec<&str> {
+        let up = |m: &&Member| self.cluster.links_to(&m.member, now);
+        let others = self.settings.members.iter().filter(up).map(|m| m.zone.as_str());
+        others.chain([self.settings.zone.as_str()]).collect()
+    }
+}
--- /dev/null
+++ b/crates/controller/src/node/submissions.rs
@@ -0,0 +1,220 @@
+//! Submissions and cancellations (protocol, "Users -> controller nodes").
+
+use crate::node::Node;
+use crate::reply::Reply;
+use copperhaven_core::admission::shape::admit_shape;
+use copperhaven_core::pipelines::awaits::{Awaits, Named};
+use copperhaven_core::questions::shown_final;
+use copperhaven_wire::jobs::{self, Shown};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What a submission comes to.
+pub(super) enum Taking {
+    In(String),
+    /// Its id, and the jobs about which the records have to be asked first.
+    Ask(String, Vec<String>),
+    Refused(Reply),
+}
+
+const USER_LIMIT: Duration = Duration::from_millis(2500);
+
+/// How often a submission asks the records about jobs that it waits for.
+const READS: usize = 4;
+
+/// What a job takes of the leader's memory, in tasks.
+const JOB_AS_TASKS: usize = 40;
+
+impl Node {
+    pub(super) async fn submit(&self, body: &[u8]) -> Reply {
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        let peeked = jobs::peek_uid(body);
+        if let Some(uid) = &peeked
+            && self.known(term, uid).is_some()
+        {
+            return self.accepted(term, uid, 200).await;
+        }
+        // What the records say of jobs that it waits for and that are not in memory.
+        let mut read = HashMap::new();
+        for _ in 0..READS {
+            let taken = match self.take_in(term, body, &read) {
+                Some(taken) => taken,
+                None => return Reply::later("the leader has changed", 1),
+            };
+            let ask = match (taken, &peeked) {
+                (Taking::In(uid), _) => return self.accepted(term, &uid, 201).await,
+                (Taking::Refused(refusal), None) => return refusal,
+                // A repeat of a job that is over gets its state, whatever else could be said of
+                // it. What is taken in needs no look-up: its record is conditional on there being
+                // none.
+                (Taking::Refused(refusal), Some(uid)) => {
+                    return match self.past(term, uid).await {
+                        Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
+                        Ok(None) if self.known(term, uid).is_none() => refusal,
+                        Ok(None) => self.accepted(term, uid, 200).await,
+                        Err(later) => later,
+                    };
+                }
+                (Taking::Ask(own, ask), _) => {
+                    if read.is_empty() {
+                        match self.past(term, &own).await {
+                            Ok(Some(f)) => return Reply::new(200, &shown_final(&own, &f)),
+                            Ok(None) => {}
+                            Err(later) => return later,
+                        }
+                    }
+                    ask
+                }
+            };
+            for uid in ask {
+                match self.look_up(term, &uid).await {
+                    Ok(named) => read.insert(uid, named),
+                    Err(later) => return later,
+                };
+            }
+        }
+        Reply::later("the jobs that it waits for change too fast", 1)
+    }
+
+    /// Checks and admits a submission that is not known in memory.
+    pub(super) fn take_in(
+        &self,
+        term: u64,
+        body: &[u8],
+        read: &HashMap<String, Named>,
+    ) -> Option<Taking> {
+        let mut job = match jobs::parse(body) {
+            Ok(job) => job,
+            Err(e) => return Some(Taking::Refused(Reply::error(400, &e.to_string()))),
+        };
+        let uid = job.uid.clone();
+        let now = self.now();
+        let taken = self.with_cell(term, |c, lead| {
+            if !lead {
+                return Err(Reply::later("not in authority", 1));
+            }
+            let settings = c.settings.clone();
+            let flavors = std::mem::take(&mut c.flavors);
+            let spec = admit_shape(&job, &mut c.names, &flavors, &settings);
+            c.flavors = flavors;
+            let spec = match spec {
+                Ok(spec) => spec,
+                Err(e) => {
+                    tracing::info!("refuse {uid}: {e}");
+                    return Err(Reply::error(422, &e.to_string()));
+                }
+            };
+            let tasks: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
+            let open = tasks + c.jobs.len() * JOB_AS_TASKS;
+            if open + spec.tasks as usize > c.settings.most_tasks() {
+                return Err(Reply::later("more tasks than fit into memory", 20));
+            }
+            // Types that the cloud doesn't have can't matter, and a long list of them would not
+            // fit into the record.
+            if let Some(berths) = &mut job.berths {
+                berths.sort_unstable();
+                berths.dedup();
+                berths.retain(|b| c.flavors.iter().any(|f| f.label == *b));
+            }
+            // Kept apart from the rest, however long the list is.
+            let awaits = job.awaits.take().unwrap_or_default();
+            if c.empty_record_bytes(&job) + 64 > c.ledger.value_limit {
+                return Err(Reply::error(400, "malformed: names too long to be recorded"));
+            }
+            let (open, dead) = match c.look_at_awaits(&awaits, read) {
+                Awaits::Open(open) => (open, false),
+                Awaits::Cancelled => (vec![], true),
+                Awaits::Ask(ask) => return Ok(Some(ask)),
+                Awaits::Later => {
+                    return Err(Reply::later("a job that it waits for is being recorded", 1));
+                }
+                Awaits::Never(other) => {
+                    let why = format!("can never run: {other}, which it waits for, is unknown");
+                    tracing::info!("refuse {uid}: {why}");
+                    return Err(Reply::error(422, &why));
+                }
+                Awaits::Service(other) => {
+                    let why = format!("can never run: {other}, which it waits for, is a service");
+                    tracing::info!("refuse {uid}: {why}");
+                    return Err(Reply::error(422, &why));
+                }
+            };
+            let wait = c.expected_wait(&open, now);
+            let routed = match c.admit_after(&spec, wait, now) {
+                // Cancelled with what it waits for, it needs no room.
+                Err(_) if dead => vec![0; c.pools()],
+                Ok(routed) => routed,
+                Err(nu) => {
+                    tracing::info!("refuse {uid}: lowest index {nu:.6} reaches the rejection cost");
+                    let reply = Reply::error(429, "its deadline cannot be met now");
+                    return Err(Reply { retry_after: 10, ..reply });
+                }
+            };
+            tracing::debug!(
+                "take in {uid}: {} {} of {}, {:?} {:?}, {} tasks of {} cpus, {} GB image, due in {:?} s, after {awaits:?}",
+                if spec.spot { "spot" } else { "ordinary" },
+                job.lot,
+                job.owner,
+                spec.shape,
+                spec.precedence,
+                spec.tasks,
+                spec.cpus,
+                spec.image_gb,
+                spec.deadline_s,
+            );
+            let id = c.take_in(spec, job, (open, dead), Self::wall_ms(), now);
+            if let Some(j) = c.jobs.get_mut(&id)
+                && j.awaits.is_empty()
+                && j.open()
+            {
+                j.routed = routed;
+            }
+            Ok(None)
+        });
+        Some(match taken? {
+            Ok(None) => Taking::In(uid),
+            Ok(Some(ask)) => Taking::Ask(uid, ask),
+            Err(refusal) => Taking::Refused(refusal),
+        })
+    }
+
+    /// Answers once the job's record is safe.
+    pub(super) async fn accepted(&self, term: u64, uid: &str, status: u16) -> Reply {
+        match self.until(term, USER_LIMIT, |c, lead| c.show(uid).filter(|_| lead)).await {
+            // Known after all, and over: not created by this request.
+            Some(shown) if shown.status == "done" || shown.status == "aborted" => {
+                Reply::new(200, &shown)
+            }
+            Some(shown) => Reply::new(status, &shown),
+            None => Reply::later("not recorded in time", 1),
+        }
+    }
+
+    pub(super) async fn cancel(&self, body: &[u8]) -> Reply {
+        let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
+        if !jobs::valid_uid(uid) {
+            return Reply::error(404, "unknown job");
+        }
+        let Some(term) = self.term() else { return Reply::later("no leader", 1) };
+        if self.known(term, uid).is_none() {
+            return self.show(body).await;
+        }
+        let now = self.now();
+        let done = self.with_cell(term, |c, lead| {
+            if lead && let Some(id) = c.jobs.id(uid) {
+                c.cancel(id, now);
+            }
+            lead
+        });
+        if done != Some(true) {
+            return Reply::later("not in authority", 1);
+        }
+        self.kick();
+        let over = |s: &Shown| s.status == "aborted" || s.status == "done";
+        let shown = self.until(term, USER_LIMIT, |c, lead| c.show(uid).filter(|s| lead && over(s)));
+        match shown.await {
+            Some(shown) => Reply::new(200, &shown),
+            None => Reply::later("not recorded in time", 1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/controller/src/peers.rs
@@ -0,0 +1,155 @@
+//! Connections to and from the other controllers: one kept link to each, and the answers to theirs.
+
+use crate::cluster::frames::{ANSWER, Header, Op, PING, read_frame};
+use crate::cluster::{IN_FLIGHT, Link, PeerView};
+use crate::metrics;
+use crate::node::Node;
+use crate::reply::Reply;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::timeout;
+use zerocopy::byteorder::little_endian::U16;
+
+/// Keeps the connection to one peer and asks it twice a second who it is.
+async fn keep_link(node: Arc<Node>, link: Arc<Link>) {
+    loop {
+        if let Ok(Ok(stream)) =
+            timeout(Duration::from_millis(1000), TcpStream::connect(&link.addr)).await
+        {
+            let _ = stream.set_nodelay(true);
+            let (mut read, mut write) = stream.into_split();
+            let (tx, mut rx) = mpsc::channel::<Vec<u8>>(IN_FLIGHT);
+            *link.queue.lock().expect("lock") = Some(tx.clone());
+            let reader = async {
+                // A silent peer (cut off, or without power) is given up, so that a new
+                // connection can take over when it is back.
+                while let Ok(Some((h, body))) =
+                    timeout(Duration::from_millis(4000), read_frame(&mut read)).await
+                {
+                    if h.kind != ANSWER {
+                        break;
+                    }
+                    if h.id.get() == 0 {
+                        let view = PeerView {
+                            heard_ms: node.now(),
+                            term: h.term.get(),
+                            leads: h.leads == 1,
+                            release: h.status.get().max(1),
+                            reaches: h.reaches.get(),
+                        };
+                        let before = link.view().release;
+                        *link.view.lock().expect("lock") = view;
+                        if before != view.release {
+                            node.cluster.tell_release(&link.member, view.release);
+                        }
+                        node.heard_peer(link.ix, view);
+                        continue;
+                    }
+                    let waiter = link.waiting.lock().expect("lock").remove(&h.id.get());
+                    if let Some(waiter) = waiter {
+                        let _ = waiter.send(Reply {
+                            status: h.status.get(),
+                            retry_after: h.retry_after.get(),
+                            body,
+                            close: false,
+                        });
+                    }
+                }
+            };
+            let writer = async {
+                while let Some(frame) = rx.recv().await {
+                    if write.write_all(&frame).await.is_err() {
+                        break;
+                    }
+                }
+            };
+            let pinger = async {
+                loop {
+                    if tx.try_send(Header::new(PING, 0, 0).frame(&[])).is_err() {
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(500)).await;
+                }
+            };
+            tokio::select! { _ = reader => {}, _ = writer => {}, _ = pinger => {} }
+            *link.queue.lock().expect("lock") = None;
+            link.waiting.lock().expect("lock").clear();
+            link.view.lock().expect("lock").heard_ms = 0;
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+}
+
+async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (mut read, mut write) = stream.into_split();
+    // Peers speak frames; whoever begins with an HTTP request wants the metrics.
+    let mut first = [0u8; 4];
+    if !matches!(timeout(Duration::from_secs(10), read.read_exact(&mut first)).await, Ok(Ok(_))) {
+        return;
+    }
+    let mut read = std::io::Cursor::new(first).chain(read);
+    if &first == b"GET " {
+        let io = tokio::io::join(read, write);
+        let _ = timeout(Duration::from_secs(5), metrics::serve(&node, io)).await;
+        return;
+    }
+    let (tx, mut rx) = mpsc::channel::<Vec<u8>>(IN_FLIGHT);
+    let writer = async {
+        while let Some(frame) = rx.recv().await {
+            if write.write_all(&frame).await.is_err() {
+                break;
+            }
+        }
+    };
+    let reader = async {
+        let slots = Arc::new(Semaphore::new(IN_FLIGHT));
+        while let Ok(Some((h, body))) =
+            timeout(Duration::from_secs(10), read_frame(&mut read)).await
+        {
+            if h.kind == PING {
+                let reaches = node.cluster.reaches(node.now());
+                let pong = Header::pong(node.standing(), reaches);
+                if tx.send(pong.frame(&[])).await.is_err() {
+                    break;
+                }
+                continue;
+            }
+            let Some(op) = Op::from(h.kind) else { break };
+            let Ok(slot) = slots.clone().try_acquire_owned() else { continue };
+            let (node, tx) = (node.clone(), tx.clone());
+            tokio::spawn(async move {
+                let reply = node.serve(op, &body, h.hops).await;
+                let mut head = Header::new(ANSWER, h.id.get(), reply.body.len());
+                head.status = U16::new(reply.status);
+                head.retry_after = U16::new(reply.retry_after);
+                let _ = tx.send(head.frame(&reply.body)).await;
+                drop(slot);
+            });
+        }
+    };
+    tokio::select! { _ = reader => {}, _ = writer => {} }
+}
+
+pub async fn run(node: Arc<Node>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(&node.settings.cluster_listen).await?;
+    for link in &node.cluster.links {
+        tokio::spawn(keep_link(node.clone(), link.clone()));
+    }
+    let most = Arc::new(Semaphore::new(32));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(slot) = most.clone().try_acquire_owned() else { continue };
+        let node = node.clone();
+        tokio::spawn(async move {
+            serve_peer(node, stream).await;
+            drop(slot);
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failures/leaders.rs
@@ -0,0 +1,324 @@
+//! Leaders that are elected, lead, and answer; and the network between all.
+
+use crate::world::*;
+use copperhaven_core::records::{Cond, Record};
+use copperhaven_core::settings::NextLimits;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::names::Names;
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_core::workers::reports::Taken;
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+impl World {
+    pub fn elect(&mut self) {
+        self.term += 1;
+        self.rev += 1;
+        let ttl = self.settings.tuning.leader_lease_ms;
+        self.key = Some((self.term, self.rev, self.now + ttl));
+        let mut names = Names::new(&self.settings);
+        let flavors = flavors(&mut names);
+        let leader = Cond { path: "c/leader".into(), stamp: self.rev };
+        let (term, now) = (self.term, self.now);
+        // The version before doesn't know what is announced.
+        let mut settings = (*self.settings).clone();
+        if now + NEW >= self.falls {
+            settings.deployment.state.next = Some(NextLimits::default());
+        }
+        let mut cell = Cell::new(Arc::new(settings), term, leader, now, names, flavors);
+        let mut read = Records::default();
+        for (path, (record, stamp)) in &self.store {
+            match record.clone() {
+                Record::Job(x) => read.jobs.push((path.clone(), *x, *stamp)),
+                Record::Done(x) => read.done.push((path.clone(), x, *stamp)),
+                Record::Machine(x) => read.machines.push((path.clone(), x, *stamp)),
+                Record::Rental(x) => read.rentals.push((path.clone(), x, *stamp)),
+                Record::Links(x) => read.links.push((path.clone(), x, *stamp)),
+                _ => {}
+            }
+        }
+        rebuild(&mut cell, read, now, now);
+        if now + NEW >= self.falls {
+            cell.ledger.value_limit = LOW;
+        }
+        let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
+        self.leaders.push(Leader {
+            term,
+            cell,
+            renewed: now,
+            store: true,
+            cut,
+            mute: BTreeSet::new(),
+            still_until: 0,
+            writing: false,
+            waiting: vec![],
+        });
+    }
+
+    pub fn lead(&self, l: &Leader) -> bool {
+        self.now < l.renewed + self.settings.tuning.leader_lease_ms
+    }
+
+    pub fn run_leaders(&mut self) {
+        let now = self.now;
+        let holding = self.settings.holding_ms();
+        let ttl = self.settings.tuning.leader_lease_ms;
+        if self.key.is_some_and(|(_, _, until)| now > until) {
+            self.key = None;
+        }
+        for k in 0..self.leaders.len() {
+            if self.leaders[k].store && now >= self.leaders[k].still_until {
+                match &mut self.key {
+                    Some((term, _, until)) if *term == self.leaders[k].term => {
+                        *until = now + ttl;
+                        self.leaders[k].renewed = now;
+                    }
+                    // Its lease is gone: it learns so at once.
+                    _ => self.leaders[k].renewed = 0,
+                }
+            }
+        }
+        let ends = |l: &Leader| now > l.renewed + holding || l.renewed == 0;
+        self.leaders.retain(|l| now < l.still_until || !ends(l));
+        if self.key.is_none() && self.chance(0.3) {
+            self.elect();
+        }
+        for k in 0..self.leaders.len() {
+            if now < self.leaders[k].still_until {
+                continue;
+            }
+            let lead = self.lead(&self.leaders[k]);
+            let l = &mut self.leaders[k];
+            l.cell.expire(now);
+            l.cell.stir = true;
+            if lead {
+                l.cell.place(now);
+            }
+            let direct = std::mem::take(&mut l.cell.direct);
+            let (term, cut) = (l.term, l.cut.clone());
+            l.cell.follow(now);
+            let ops = if l.cell.ledger.value_limit == LOW { 5 } else { 16 };
+            let batch = (l.store && !l.writing).then(|| l.cell.batch(ops)).flatten();
+            let ask = if l.store { l.cell.links.unread(2) } else { vec![] };
+            for d in direct {
+                let i: usize = d.addr.parse().expect("address");
+                if !cut.contains(&i) && !self.chance(0.1) {
+                    self.send(k, i, Msg::Command(i, term, d.shift, d.orders));
+                }
+            }
+            for uid in ask {
+                let end = match self.store.get(&format!("f/{uid}")) {
+                    Some((Record::Final(f), _)) => Some(f.done),
+                    _ => None,
+                };
+                if self.chance(0.3) {
+                    self.post(Msg::End(term, uid.to_string(), end));
+                }
+            }
+            if let Some(batch) = batch {
+                self.leaders[k].writing = true;
+                let lost = self.chance(0.05);
+                if lost {
+                    // No answer: perhaps never executed, perhaps much later.
+                    self.leaders[k].writing = false;
+                }
+                if !lost || self.chance(0.5) {
+                    self.post(Msg::Commit(term, batch, lost));
+                }
+            }
+            self.answer(k);
+            self.tell(k);
+        }
+    }
+
+    /// Sends the responses whose orders are safe.
+    pub fn answer(&mut self, k: usize) {
+        let lead = self.lead(&self.leaders[k]);
+        let now = self.now;
+        let l = &mut self.leaders[k];
+        let waiting = std::mem::take(&mut l.waiting);
+        let mut out = vec![];
+        for (i, at, tally) in waiting {
+            let Some(mid) = l.cell.machines.id(&format!("n-{i:03}")) else { continue };
+            if lead && !l.cell.orders_ready(mid) {
+                l.waiting.push((i, at, tally));
+            } else if let Some(o) = l.cell.orders(mid, at, now, lead) {
+                out.push((i, Msg::Response(i, o.warrant, at.0, tally, o.orders)));
+            }
+        }
+        for (i, msg) in out {
+            self.send(k, i, msg);
+        }
+    }
+
+    /// From leader `k` to worker `i`, on a connection that may work in the other direction only.
+    pub fn send(&mut self, k: usize, i: usize, msg: Msg) {
+        if !self.leaders[k].mute.contains(&i) {
+            self.post(msg);
+        } else if self.chance(0.5) {
+            let at = self.now + self.rng.random_range(3_000..40_000);
+            self.mail.push((at, msg));
+        }
+    }
+
+    /// What users are told; each answer must fit all earlier ones.
+    pub fn tell(&mut self, k: usize) {
+        if !self.lead(&self.leaders[k]) {
+            return;
+        }
+        let now = self.now;
+        for (uid, body) in &self.submitted {
+            let cell = &self.leaders[k].cell;
+            let Some(shown) = cell.show(uid) else {
+                let final_on_record = self.store.contains_key(&format!("f/{uid}"));
+                let known = cell.jobs.has(uid.as_str()) || final_on_record;
+                assert!(known || !self.accepted.contains(uid), "forgotten: {uid}");
+                continue;
+            };
+            self.accepted.insert(uid.clone());
+            match shown.status.as_str() {
+                "aborted" => {
+                    let asked = self.needs(uid).iter().any(|n| self.asked_to_cancel.contains(n));
+                    assert!(asked, "went_back: {uid} is cancelled, which nobody asked for");
+                    assert!(!self.told_done.contains(uid), "went_back: {uid}");
+                    self.told_cancelled.entry(uid.clone()).or_insert(now);
+                }
+                "done" => {
+                    assert!(!self.told_cancelled.contains_key(uid), "went_back: {uid}");
+                    let done = self.finished.get(uid).map_or(0, BTreeSet::len);
+                    assert_eq!(done as u64, body.parcels, "not_done: {uid}");
+                    self.told_done.insert(uid.clone());
+                }
+                _ => {
+                    let over =
+                        self.told_done.contains(uid) || self.told_cancelled.contains_key(uid);
+                    assert!(!over, "went_back: {uid} is {}", shown.status);
+                    let most = (self.settings.deployment.workers.cancel_s * 1000.0) as u64;
+                    for need in self.needs(uid) {
+                        let told = self.told_cancelled.get(&need);
+                        let late = told.is_some_and(|at| now > at + most);
+                        assert!(!late, "orphaned: {uid} long after {need} was cancelled");
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn deliver(&mut self, msg: Msg) {
+        let now = self.now;
+        if let Msg::Report(_, term, _) | Msg::Commit(term, ..) = &msg
+            && let Some(l) = self.leaders.iter().find(|l| l.term == *term)
+            && now < l.still_until
+            && !matches!(&msg, Msg::Commit(..))
+        {
+            // It finds the message when it goes on, and takes it for a new one.
+            self.mail.push((l.still_until, msg));
+            return;
+        }
+        match msg {
+            Msg::Report(i, term, report) => {
+                let lead = |l: &Leader| now < l.renewed + 2500;
+                let Some(l) = self.leaders.iter_mut().find(|l| l.term == term) else { return };
+                if l.cut.contains(&i) {
+                    return;
+                }
+                let lead = lead(l);
+                match l.cell.on_report(&report, now) {
+                    Taken::Answer(_) => {
+                        if lead {
+                            l.cell.place(now);
+                        }
+                        l.waiting.push((i, (report.shift, report.tally), report.tally));
+                    }
+                    Taken::NewerTerm(_) => l.renewed = 0,
+                    _ => {}
+                }
+            }
+            Msg::Response(i, warrant, shift, tally, orders) => {
+                let w = &mut self.workers[i];
+                let Some((flight, sent)) = w.flight else { return };
+                let stale = flight != tally || w.shift != shift || now > sent + 4000;
+                if stale || now < w.hangs_until {
+                    return;
+                }
+                w.flight = None;
+                w.next_report = now + 500;
+                if warrant < w.token {
+                    return;
+                }
+                w.token = warrant;
+                w.answered = sent;
+                self.execute(i, orders);
+            }
+            Msg::Command(i, warrant, shift, orders) => {
+                if now < self.workers[i].hangs_until {
+                    let at = self.workers[i].hangs_until;
+                    self.mail.push((at, Msg::Command(i, warrant, shift, orders)));
+                    return;
+                }
+                let w = &mut self.workers[i];
+                w.tally += 1;
+                if warrant >= w.token && shift == w.shift {
+                    w.token = warrant;
+                    self.execute(i, orders);
+                }
+            }
+            Msg::End(term, uid, done) => {
+                if let Some(l) = self.leaders.iter_mut().find(|l| l.term == term) {
+                    l.cell.links.read(&uid, done);
+                    l.cell.follow(now);
+                }
+            }
+            Msg::Commit(term, batch, lost) => {
+                let (ops, bytes) = self.limits(now);
+                let long = batch.apply.iter().any(|c| c.bytes() > bytes);
+                if long || batch.apply.len() > ops || batch.when.len() > 4 * ops {
+                    self.refused += 1;
+                    let l = self.leaders.iter_mut().find(|l| l.term == term);
+                    let new =
+                        l.as_ref().is_some_and(|l| l.cell.settings.deployment.state.next.is_some());
+                    assert!(!new, "over the announced limits: {:?}", batch.keys);
+                    if let Some(l) = l.filter(|_| !lost) {
+                        l.writing = false;
+                        l.cell.malformed(&batch);
+                    }
+                    return;
+                }
+                let outcome = self.apply(&batch);
+                let seen: BTreeMap<String, Option<(Record, u64)>> = match &outcome {
+                    Err(keys) => {
+                        keys.iter().map(|k| (k.clone(), self.store.get(k).cloned())).collect()
+                    }
+                    Ok(_) => BTreeMap::new(),
+                };
+                if lost {
+                    return;
+                }
+                let Some(l) = self.leaders.iter_mut().find(|l| l.term == term) else { return };
+                l.writing = false;
+                if now < l.still_until {
+                    // Applied, but the answer comes too late: an unknown outcome.
+                    return;
+                }
+                match outcome {
+                    Ok(rev) => {
+                        l.cell.applied(&batch, rev);
+                        l.cell.ledger.alone = false;
+                        l.cell.follow(now);
+                    }
+                    Err(keys) if keys.iter().any(|k| k == "c/leader") => l.renewed = 0,
+                    Err(_) => {
+                        for (key, seen) in seen {
+                            let last = match &seen {
+                                Some((Record::Final(f), _)) => Some(f.clone()),
+                                _ => None,
+                            };
+                            l.cell.read_back(&key, seen.map(|(_, stamp)| stamp), last);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/failures/users.rs
@@ -0,0 +1,120 @@
+//! Users who submit, ask and cancel.
+
+use crate::world::*;
+use copperhaven_core::admission::shape::admit_shape;
+use copperhaven_core::pipelines::awaits::{Awaits, Named};
+use copperhaven_core::records::Record;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use rand::Rng;
+use std::collections::{BTreeSet, HashMap};
+
+impl World {
+    pub fn users(&mut self) {
+        let now = self.now;
+        let well = |l: &Leader| now < l.renewed + 2500 && now >= l.still_until;
+        let Some(k) = self.leaders.iter().rposition(well) else { return };
+        if self.chance(0.02) && self.submitted.len() < 30 {
+            let n = self.submitted.len();
+            let gang = self.chance(0.25);
+            let red = self.chance(0.6);
+            let mut body = JobBody {
+                uid: format!("wk-{n:06}"),
+                lot: "c".into(),
+                owner: if red { "red" } else { "blue" }.into(),
+                shape: if gang { Shape::Gang } else { Shape::Array },
+                precedence: if gang { Precedence::High } else { Precedence::Low },
+                parcels: if gang { 2 } else { self.rng.random_range(1..20) },
+                cpus: if gang { 4.0 } else { self.rng.random_range(1..7) as f64 * 0.5 },
+                cards: 0.0,
+                mem_gb: 2.0,
+                cargo: "i".into(),
+                pull_gb: 1.0,
+                berths: None,
+                yard: self.chance(0.1).then(|| "s".into()),
+                together: gang && self.chance(0.5),
+                spread: false,
+                loaners: self.chance(0.7),
+                expected_s: 10.0,
+                stamp_every_s: 0.0,
+                stamp_s: 0.0,
+                due_s: None,
+                awaits: None,
+            };
+            // Pipelines: it names jobs that were accepted, in any state.
+            let named: BTreeSet<String> =
+                if self.chance(0.5) && now + NEW >= self.falls && self.all_new(k) {
+                    let n = self.rng.random_range(1..4);
+                    let all: Vec<&String> = self.accepted.iter().collect();
+                    let pick = (0..n).filter(|_| !all.is_empty()).map(|_| {
+                        let recent = self.rng.random_bool(0.5);
+                        let last = if recent { all.len().min(6) } else { all.len() };
+                        all[all.len() - 1 - self.rng.random_range(0..last)].clone()
+                    });
+                    pick.collect()
+                } else {
+                    BTreeSet::new()
+                };
+            let named: Vec<String> = named.into_iter().collect();
+            let read = self.read(&named);
+            let cell = &mut self.leaders[k].cell;
+            let named = match cell.look_at_awaits(&named, &read) {
+                Awaits::Open(open) => Some((named, (open, false))),
+                Awaits::Cancelled => Some((named, (vec![], true))),
+                Awaits::Later => None,
+                other => panic!("{} on {named:?}: {other:?}", body.uid),
+            };
+            if let Some((named, names)) = named {
+                let (settings, flavors) = (cell.settings.clone(), cell.flavors.clone());
+                let spec = admit_shape(&body, &mut cell.names, &flavors, &settings);
+                cell.take_in(spec.expect("valid"), body.clone(), names, now, now);
+                body.awaits = Some(named);
+                self.submitted.insert(body.uid.clone(), body);
+            }
+        }
+        // A submission is repeated, long after its job was over too: a leader that has not heard
+        // of it takes it for new, until its record is to be written.
+        if self.chance(0.01) && !self.submitted.is_empty() {
+            let n = self.rng.random_range(0..self.submitted.len());
+            let mut body = self.submitted[&format!("wk-{n:06}")].clone();
+            let named = body.awaits.take().unwrap_or_default();
+            let read = self.read(&named);
+            let cell = &mut self.leaders[k].cell;
+            let known = cell.jobs.has(body.uid.as_str()) || cell.finals.has(body.uid.as_str());
+            let names = match cell.look_at_awaits(&named, &read) {
+                Awaits::Open(open) => Some((open, false)),
+                Awaits::Cancelled => Some((vec![], true)),
+                _ => None,
+            };
+            if let Some(names) = names.filter(|_| !known) {
+                let (settings, flavors) = (cell.settings.clone(), cell.flavors.clone());
+                let spec = admit_shape(&body, &mut cell.names, &flavors, &settings);
+                cell.take_in(spec.expect("valid"), body, names, now, now);
+            }
+        }
+        if self.chance(0.002) && !self.submitted.is_empty() {
+            let n = self.rng.random_range(0..self.submitted.len());
+            let uid = format!("wk-{n:06}");
+            let cell = &mut self.leaders[k].cell;
+            if let Some(id) = cell.jobs.id(uid.as_str()) {
+                cell.cancel(id, now);
+                self.asked_to_cancel.insert(uid);
+            }
+        }
+    }
+
+    /// Nothing new is asked of the service before all have the new version.
+    pub fn all_new(&self, k: usize) -> bool {
+        self.leaders[k].cell.settings.deployment.state.next.is_some()
+    }
+
+    /// What the records say of jobs that a submission names.
+    pub fn read(&self, named: &[String]) -> HashMap<String, Named> {
+        let seen = |uid: &String| match self.store.get(&format!("f/{uid}")) {
+            Some((Record::Final(f), _)) if f.done => Named::Done,
+            Some(_) => Named::Cancelled,
+            None if self.store.contains_key(&format!("j/{uid}")) => Named::Open,
+            None => Named::Never,
+        };
+        named.iter().map(|uid| (uid.clone(), seen(uid))).collect()
+    }
+}
