Records that can't be read at a takeover are named, left, and what they may hold is waited for

Need: one record that can't be decoded failed the page it was on, and with it every takeover, for ever. Jobs accepted under other settings and machines of unknown type were skipped instead: their finished ranges were dropped, what ran there counted for nobody, and repeated submissions of such jobs got 422.

Change: pages are read record by record when they have to be. What can't be read or used is set aside (state/aside): a job is nobody's to start, cancel or take for new, and those that need it are told nothing; a machine may hold any task of an earlier leader's until it has reported under the new term or its lease has surely run out, its CPUs count against every team meanwhile, then what it lists goes on; finished ranges are worked out once more and recorded beside. A final record that can't be read no longer stops all transactions. An unreadable term is named, and nobody leads. Metric records_unreadable.

--- a/crates/controller/src/leadership/commits.rs
+++ b/crates/controller/src/leadership/commits.rs
@@ -2,7 +2,7 @@
 
 use crate::leadership::ms;
 use crate::node::Node;
-use crate::store::Outcome;
+use crate::store::{Outcome, StoreError};
 use copperhaven_core::caution::Caution;
 use copperhaven_core::records::*;
 use serde::de::IgnoredAny;
@@ -77,9 +77,18 @@
                 // versions as they are and write again.
                 for key in keys {
                     if key.starts_with("f/") {
-                        if let Ok(seen) = node.store.get::<FinalRecord>(&key).await {
-                            let (last, stamp) = seen.unzip();
-                            node.with_cell(term, |c, _| c.read_back(&key, stamp, last));
+                        match node.store.get::<FinalRecord>(&key).await {
+                            Ok(seen) => {
+                                let (last, stamp) = seen.unzip();
+                                node.with_cell(term, |c, _| c.read_back(&key, stamp, last));
+                            }
+                            // Or the same transaction would be tried for ever, and no other.
+                            Err(e @ StoreError::Unreadable { .. }) => {
+                                node.note_unreadable(&e);
+                                let uid = key.trim_start_matches("f/");
+                                node.with_cell(term, |c, _| c.end_unreadable(uid));
+                            }
+                            Err(_) => {}
                         }
                     } else if let Ok(seen) = node.store.get::<IgnoredAny>(&key).await {
                         let stamp = seen.map(|(_, stamp)| stamp);
--- a/crates/controller/src/leadership/load.rs
+++ b/crates/controller/src/leadership/load.rs
@@ -15,14 +15,30 @@
     let machines = node.store.list::<MachineRecord>("m/").await?;
     let rentals = node.store.list::<RentalRecord>("r/").await?;
     let links = node.store.list::<LinksRecord>("a/").await?;
-    let provided = node.store.get::<ProvidedRecord>(PROVIDED).await?;
+    let provided = match node.store.get::<ProvidedRecord>(PROVIDED).await {
+        Ok(provided) => provided.map(|(p, _)| p.machines),
+        // Only what is kept up without work depends on it: none is.
+        Err(e @ StoreError::Unreadable { .. }) => {
+            node.note_unreadable(&e);
+            Some(0)
+        }
+        Err(e) => return Err(e),
+    };
+    let bad = [jobs.bad, done.bad, machines.bad, rentals.bad, links.bad].concat();
     let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
     let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
-    let read = Records { jobs, done, machines, rentals, links };
+    let read = Records {
+        jobs: jobs.rows,
+        done: done.rows,
+        machines: machines.rows,
+        rentals: rentals.rows,
+        links: links.rows,
+        bad,
+    };
     rebuild(&mut cell, read, now, Node::wall_ms());
-    cell.fleet.provided = provided.map(|(p, _)| p.machines);
+    cell.fleet.provided = provided;
     let (j, m) = (cell.jobs.len(), cell.machines.len());
     tracing::info!("term {term} has {j} open jobs and {m} machines on record");
     node.state.lock().expect("lock").cell = Some(cell);
@@ -43,10 +59,22 @@
         });
         for end in ends {
             let (uid, seen) = end.await;
-            let Ok(seen) = seen else { break };
+            let unreadable = matches!(seen, Err(StoreError::Unreadable { .. }));
+            let seen = match seen {
+                Ok(seen) => seen,
+                // How it ended is not known: who waits for it goes on waiting, all others go on.
+                Err(e) if unreadable => {
+                    node.note_unreadable(&e);
+                    None
+                }
+                Err(_) => break,
+            };
             let now = node.now();
             node.with_cell(term, |c, _| {
                 c.links.read(uid, seen.map(|(last, _)| last.done));
+                if unreadable {
+                    c.doubt(uid);
+                }
                 c.follow(now);
             });
         }
@@ -58,7 +86,10 @@
 /// depends on the outcome.
 pub(super) async fn record_flavors(node: &Node, stamp: u64) {
     let Some(berths) = node.state.lock().expect("lock").flavors.clone() else { return };
-    let Ok(seen) = node.store.get::<FlavorsRecord>(FLAVORS).await else { return };
+    let seen = match node.store.get::<FlavorsRecord>(FLAVORS).await {
+        Ok(seen) => seen,
+        Err(e) => return node.note_unreadable(&e),
+    };
     if seen.as_ref().is_some_and(|(r, _)| r.berths == berths) {
         return;
     }
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -60,7 +60,10 @@
                 }
                 sleep(ms(50 + rand::random::<u64>() % 150)).await;
             }
-            Err(_) => sleep(ms(300)).await,
+            Err(e) => {
+                node.note_unreadable(&e);
+                sleep(ms(300)).await;
+            }
         }
     }
 }
@@ -79,9 +82,14 @@
 /// Raises the term and takes the leader key in one transaction. An unknown outcome is read back.
 async fn elect(node: &Node) -> Option<(u64, u64, u64, u64)> {
     let ttl = node.settings.tuning.leader_lease_ms;
-    let (old, term_stamp) = match node.store.get::<TermRecord>(TERM).await.ok()? {
-        Some((t, stamp)) => (t.term, stamp),
-        None => (0, 0),
+    let (old, term_stamp) = match node.store.get::<TermRecord>(TERM).await {
+        Ok(Some((t, stamp))) => (t.term, stamp),
+        Ok(None) => (0, 0),
+        // Without it no term is surely higher than all before: nobody may lead until it is mended.
+        Err(e) => {
+            node.note_unreadable(&e);
+            return None;
+        }
     };
     let sent = node.now();
     let lease = node.store.lease(ttl).await.ok()?;
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -63,6 +63,9 @@
     }
     let upgraded = figure("upgrade_finished", "1 if all controllers run this one's release");
     let held = figure("records_held_back", "Records too long to be written until they shrink");
+    let unreadable =
+        figure("records_unreadable", "Records that can't be read or used, left as they are");
+    let asked = node.state.lock().expect("lock").unreadable.len();
     let writes_refused =
         figure("refused_writes", "Transactions of this term that the state service refused");
     let (seen, leads) = node.standing();
@@ -133,6 +136,7 @@
         }
         dirty.get_or_create(&none).set(c.ledger.unwritten() as f64);
         writes.get_or_create(&none).set(c.ledger.commits.writes as f64);
+        unreadable.get_or_create(&none).set((asked + c.aside.len()) as f64);
         held.get_or_create(&none).set(c.ledger.held_back() as f64);
         for (why, n) in [
             ("too large", c.ledger.commits.too_large),
--- a/crates/controller/src/node/lookups.rs
+++ b/crates/controller/src/node/lookups.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use crate::reply::Reply;
+use crate::store::StoreError;
 use copperhaven_core::pipelines::awaits::Named;
 use copperhaven_core::records::{FinalRecord, JobRecord};
 use std::collections::HashSet;
@@ -31,6 +32,10 @@
                 Ok(Some(record))
             }
             Ok(None) => Ok(None),
+            Err(e @ StoreError::Unreadable { .. }) => {
+                self.note_unreadable(&e);
+                Err(Reply::later("its final record can't be read", 30))
+            }
             Err(_) => Err(Reply::later("the state service does not answer", 1)),
         }
     }
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -22,6 +22,7 @@
 use copperhaven_core::state::fleet::Flavor;
 use copperhaven_core::state::names::Names;
 use copperhaven_wire::cloud::WireFlavor;
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -44,6 +45,8 @@
     pub worker: u64,
     /// Since when the state service gives this node no answers.
     pub no_state: Option<u64>,
+    /// Keys of records that were asked for and can't be read.
+    pub unreadable: BTreeSet<String>,
 }
 
 pub struct Node {
--- a/crates/controller/src/node/questions.rs
+++ b/crates/controller/src/node/questions.rs
@@ -15,6 +15,12 @@
         .flatten()
     }
 
+    /// Why this leader has set a job aside, if it has.
+    pub(super) fn aside(&self, uid: &str) -> Option<String> {
+        let term = self.term()?;
+        self.with_cell(term, |c, _| c.aside.job(uid).map(ToString::to_string)).flatten()
+    }
+
     pub(super) async fn show(&self, body: &[u8]) -> Reply {
         let Ok(uid) = std::str::from_utf8(body) else { return Reply::error(404, "unknown job") };
         if !jobs::valid_uid(uid) {
@@ -52,11 +58,18 @@
         if !self.may_look_up(2) {
             return self.too_many(2);
         }
-        let later = Reply::later("no leader within reach", 1);
+        let aside = self.aside(uid);
+        let later = match &aside {
+            Some(why) => Reply::later(why, 30),
+            None => Reply::later("no leader within reach", 1),
+        };
         // The open record is read first: a job moves from there to the final ones, never back.
         let open = match self.store.get::<JobRecord>(&format!("j/{uid}")).await {
             Ok(open) => open,
-            Err(_) => return later,
+            Err(e) => {
+                self.note_unreadable(&e);
+                return later;
+            }
         };
         match (self.store.get::<FinalRecord>(&format!("f/{uid}")).await, open) {
             (Ok(Some((f, _))), _) => Reply::new(200, &shown_final(uid, &f)),
@@ -68,7 +81,7 @@
                     _ => None,
                 };
                 let Some(cancelled) = cancelled else { return later };
-                let why = Some("waiting for a leader".to_string());
+                let why = Some(aside.unwrap_or_else(|| "waiting for a leader".to_string()));
                 let status = if cancelled { "aborted" } else { "queued" };
                 Reply::new(200, &Shown { why, ..Shown::new(uid, status) })
             }
--- a/crates/controller/src/node/standing.rs
+++ b/crates/controller/src/node/standing.rs
@@ -82,6 +82,8 @@
 
     /// Takes note of whether the state service answers this node, and tells when that changes.
     pub fn state_service(&self, trouble: Option<&StoreError>) {
+        // A record that can't be read is an answer.
+        let trouble = trouble.filter(|e| !matches!(e, StoreError::Unreadable { .. }));
         let now = self.now();
         let mut state = self.state.lock().expect("lock");
         match (trouble, state.no_state) {
@@ -98,6 +100,15 @@
         }
     }
 
+    /// Names a record that can't be read, once in the life of this process. Other errors are none of
+    /// its business.
+    pub fn note_unreadable(&self, e: &StoreError) {
+        let StoreError::Unreadable { key, .. } = e else { return };
+        if self.state.lock().expect("lock").unreadable.insert(key.clone()) {
+            tracing::error!("{e}");
+        }
+    }
+
     pub(super) fn lacks_state(&self) -> bool {
         self.state.lock().expect("lock").no_state.is_some()
     }
--- a/crates/controller/src/node/submissions.rs
+++ b/crates/controller/src/node/submissions.rs
@@ -34,6 +34,12 @@
         {
             return self.accepted(term, uid, 200).await;
         }
+        // Accepted once, whatever could be said of it now: told as far as its record tells it.
+        if let Some(uid) = &peeked
+            && self.aside(uid).is_some()
+        {
+            return self.show(uid.as_bytes()).await;
+        }
         // What the records say of jobs that it waits for and that are not in memory.
         let mut read = HashMap::new();
         for _ in 0..READS {
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -4,7 +4,7 @@
 use copperhaven_core::records::{Change, Cond};
 use copperhaven_wire::encode;
 use hyper::Method;
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, IgnoredAny};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -16,6 +16,11 @@
     Call(#[from] CallError),
     #[error("state service: malformed answer")]
     Malformed,
+    /// The service answered; what stands under the key is not what this version writes there.
+    #[error(
+        "the record {key} (version {stamp}) can't be read: mend it or have the version that wrote it lead"
+    )]
+    Unreadable { key: String, stamp: u64 },
 }
 
 /// What became of a transaction.
@@ -45,6 +50,39 @@
     stamp: u64,
 }
 
+#[derive(Deserialize)]
+struct Page<T> {
+    pairs: Vec<Item<T>>,
+    #[serde(default)]
+    more: bool,
+}
+
+/// A value of the expected kind, or any other.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Lenient<T> {
+    Good(T),
+    Bad(IgnoredAny),
+}
+
+impl<T: DeserializeOwned> Page<Lenient<T>> {
+    /// Mostly all values are sound, and reading them leniently takes twice as long.
+    fn read(body: &[u8]) -> Option<Self> {
+        if let Ok(Page { pairs, more }) = rmp_serde::from_slice::<Page<T>>(body) {
+            let good = |i: Item<T>| Item { path: i.path, v: Lenient::Good(i.v), stamp: i.stamp };
+            return Some(Page { pairs: pairs.into_iter().map(good).collect(), more });
+        }
+        rmp_serde::from_slice(body).ok()
+    }
+}
+
+/// The keys with a prefix: path, value, version; and path and version of those that can't be read.
+#[derive(Debug)]
+pub struct Listing<T> {
+    pub rows: Vec<(String, T, u64)>,
+    pub bad: Vec<(String, u64)>,
+}
+
 pub struct Store {
     http: Client,
     addr: String,
@@ -70,36 +108,37 @@
         let answer = self.http.get(&self.addr, &format!("/store/{key}"), READ).await?;
         match answer.status {
             200 => {
-                let item: Item<T> = Self::decode(&answer)?;
-                Ok(Some((item.v, item.stamp)))
+                if let Ok(item) = rmp_serde::from_slice::<Item<T>>(&answer.body) {
+                    return Ok(Some((item.v, item.stamp)));
+                }
+                let item: Item<IgnoredAny> = Self::decode(&answer)?;
+                Err(StoreError::Unreadable { key: key.into(), stamp: item.stamp })
             }
             404 => Ok(None),
             s => Err(StoreError::Status(s)),
         }
     }
 
-    /// Every key with the prefix: path, value, version.
-    pub async fn list<T: DeserializeOwned>(
-        &self,
-        prefix: &str,
-    ) -> Result<Vec<(String, T, u64)>, StoreError> {
-        #[derive(Deserialize)]
-        struct Page<T> {
-            pairs: Vec<Item<T>>,
-            #[serde(default)]
-            more: bool,
-        }
-        let mut out: Vec<(String, T, u64)> = Vec::new();
+    /// Every key with the prefix. One that can't be read keeps none of the others from being read.
+    pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<Listing<T>, StoreError> {
+        let mut out = Listing { rows: vec![], bad: vec![] };
+        let mut last: Option<String> = None;
         loop {
-            let since = out.last().map(|(p, ..)| format!("&since={p}")).unwrap_or_default();
+            let since = last.map(|p| format!("&since={p}")).unwrap_or_default();
             let path = format!("/store?prefix={prefix}{since}&limit=300");
             let answer = self.http.get(&self.addr, &path, READ).await?;
             if answer.status != 200 {
                 return Err(StoreError::Status(answer.status));
             }
-            let page: Page<T> = Self::decode(&answer)?;
-            let end = !page.more || page.pairs.is_empty();
-            out.extend(page.pairs.into_iter().map(|i| (i.path, i.v, i.stamp)));
+            let page = Page::read(&answer.body).ok_or(StoreError::Malformed)?;
+            last = page.pairs.last().map(|i| i.path.clone());
+            let end = !page.more || last.is_none();
+            for Item { path, v, stamp } in page.pairs {
+                match v {
+                    Lenient::Good(v) => out.rows.push((path, v, stamp)),
+                    Lenient::Bad(_) => out.bad.push((path, stamp)),
+                }
+            }
             if end {
                 return Ok(out);
             }
@@ -180,3 +219,68 @@
         let _ = self.http.call(Method::DELETE, &self.addr, &path, None, READ).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use copperhaven_core::records::{DoneRecord, FinalRecord, JobRecord, MachineRecord};
+    use copperhaven_core::records::{LinksRecord, RentalRecord};
+    use std::collections::BTreeMap;
+
+    /// A page with one record of another kind, or with something else under its key.
+    fn page(values: &[(&str, serde_json::Value)]) -> Vec<u8> {
+        let item = |(n, (path, v)): (usize, &(&str, serde_json::Value))| serde_json::json!({"path": path, "v": v, "stamp": n});
+        let pairs: Vec<_> = values.iter().enumerate().map(item).collect();
+        encode(&BTreeMap::from([
+            ("pairs", serde_json::json!(pairs)),
+            ("more", serde_json::json!(true)),
+            ("ledgerRev", serde_json::json!(9)),
+        ]))
+    }
+
+    fn bad<T: DeserializeOwned>(body: &[u8]) -> (usize, Vec<String>, bool) {
+        let page = Page::<Lenient<T>>::read(body).expect("a page");
+        let good = page.pairs.iter().filter(|i| matches!(i.v, Lenient::Good(_))).count();
+        let bad = page.pairs.into_iter().filter(|i| matches!(i.v, Lenient::Bad(_)));
+        (good, bad.map(|i| i.path).collect(), page.more)
+    }
+
+    #[test]
+    fn one_record_that_can_t_be_read_keeps_none_of_the_others_from_it() {
+        // Found when the takeover was looked through: one bad value failed the whole page, and with it
+        // every takeover, for ever.
+        let sound = [
+            serde_json::json!({"r": [0, 3]}),
+            serde_json::json!({"done": true, "tasks": 3}),
+            serde_json::json!({"on": ["wk-1"]}),
+            serde_json::json!({"berth": "b", "yard": "y", "spot": true, "number": 3}),
+            serde_json::json!({"addr": "a", "berth": "b", "yard": "y", "spot": true, "shift": 1, "on": []}),
+        ];
+        let wrong = [
+            serde_json::json!(null),
+            serde_json::json!(7),
+            serde_json::json!("text"),
+            serde_json::json!([1, 2]),
+            serde_json::json!({}),
+            serde_json::json!({"r": "x", "done": 1, "on": 3, "number": -1, "job": {}}),
+        ];
+        for wrong in wrong {
+            let all = |i: usize| {
+                page(&[
+                    ("x/1", sound[i].clone()),
+                    ("x/2", wrong.clone()),
+                    ("x/3", sound[i].clone()),
+                ])
+            };
+            let expect = (2, vec!["x/2".to_string()], true);
+            assert_eq!(bad::<DoneRecord>(&all(0)), expect, "{wrong}");
+            assert_eq!(bad::<FinalRecord>(&all(1)), expect, "{wrong}");
+            assert_eq!(bad::<LinksRecord>(&all(2)), expect, "{wrong}");
+            assert_eq!(bad::<RentalRecord>(&all(3)), expect, "{wrong}");
+            assert_eq!(bad::<MachineRecord>(&all(4)), expect, "{wrong}");
+            let jobs = page(&[("j/wk-1", wrong.clone())]);
+            assert_eq!(bad::<JobRecord>(&jobs), (0, vec!["j/wk-1".to_string()], true), "{wrong}");
+        }
+        assert!(Page::<Lenient<DoneRecord>>::read(b"\x93\x01").is_none(), "a torn answer is none");
+    }
+}
--- a/crates/core/src/fleet/returns.rs
+++ b/crates/core/src/fleet/returns.rs
@@ -58,6 +58,9 @@
             self.fleet.booting.remove(name);
             if let Some(mid) = self.machines.id(name) {
                 self.remove_machine(mid);
+            } else if self.aside.machine(name) {
+                self.nothing_hidden(name, "the cloud has taken it back");
+                self.ledger.drop_path(format!("m/{name}"));
             }
             if self.fleet.gone.len() > 5000 {
                 self.fleet.gone.clear();
--- a/crates/core/src/pipelines/awaits.rs
+++ b/crates/core/src/pipelines/awaits.rs
@@ -22,7 +22,7 @@
     Done,
     Cancelled,
     Service,
-    /// Being recorded: its user has not been told that it is accepted.
+    /// Being recorded: its user has not been told that it is accepted; or its record can't be read.
     Unrecorded,
     /// Neither open nor among the last that ended: the records have to be asked.
     Unknown,
@@ -49,6 +49,7 @@
     fn named(&self, uid: &str) -> Named {
         let Some((id, job)) = self.job(uid) else {
             return match self.finals.get(uid) {
+                _ if self.aside.job(uid).is_some() => Named::Unrecorded,
                 Some(f) if f.done => Named::Done,
                 Some(_) => Named::Cancelled,
                 None => Named::Unknown,
@@ -56,7 +57,7 @@
         };
         let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
         match () {
-            () if !self.accepted(id, job) => Named::Unrecorded,
+            () if !self.accepted(id, job) || job.doubt => Named::Unrecorded,
             () if job.spec.shape == Shape::Service => Named::Service,
             () if saved(job.cancel_ver) => Named::Cancelled,
             () if job.cancelled() => Named::Open,
--- a/crates/core/src/pipelines/follow.rs
+++ b/crates/core/src/pipelines/follow.rs
@@ -73,6 +73,20 @@
         }
     }
 
+    /// How this job ended, or whether it is cancelled, can't be read. Nothing is told of those that
+    /// need it, directly or through others: an earlier leader may have called them cancelled.
+    pub fn doubt(&mut self, uid: &str) {
+        let mut next: Vec<JobId> = self.links.needed.get(uid).cloned().unwrap_or_default();
+        while let Some(id) = next.pop() {
+            let Some(job) = self.jobs.get_mut(&id).filter(|j| j.open() && !j.doubt) else {
+                continue;
+            };
+            job.doubt = true;
+            let uid = job.spec.uid.clone();
+            next.extend(self.links.needed.get(&uid).into_iter().flatten());
+        }
+    }
+
     /// A job's priority and urgency, its own or from those that need it; what changes goes on to
     /// the jobs that it needs.
     fn set_standing(&mut self, id: JobId, precedence: Precedence, due: Option<i64>) {
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -66,7 +66,8 @@
     pub fn place(&mut self, now: u64) {
         self.stir = false;
         self.passed = now;
-        self.teams.release_held();
+        let unknown = self.unknown_usage();
+        self.teams.release_held(unknown);
         let ranked = self.ranked(now);
         let mut slots = self.slots(now);
         let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
@@ -83,6 +84,12 @@
             if now < job.retry_at {
                 continue;
             }
+            if self.may_be_hidden(job) {
+                if let Some(job) = self.jobs.get_mut(&r.id) {
+                    job.wait = Wait::Absence;
+                }
+                continue;
+            }
             if job.is_failing() && job.spec.shape != Shape::Gang && !job.onto.is_empty() {
                 continue;
             }
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -72,7 +72,7 @@
         let silence = self.silence();
         self.machines
             .iter()
-            .filter(|(_, m)| m.usable(now, silence))
+            .filter(|(_, m)| m.usable(now, silence) && m.foreign.is_empty())
             .map(|(mid, m)| (mid, m, self.record_room(m)))
             .filter(|(.., record)| *record >= GROUP_BYTES + RANGE_BYTES)
             .map(|(mid, m, record)| Slot {
--- a/crates/core/src/questions.rs
+++ b/crates/core/src/questions.rs
@@ -20,7 +20,7 @@
                 return None;
             }
             // What it waits for may have been cancelled, which others may have told its user.
-            if job.open() && !job.awaits.is_empty() && !self.links.settled() {
+            if job.open() && !job.awaits.is_empty() && (job.doubt || !self.links.settled()) {
                 return None;
             }
             let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -17,8 +17,9 @@
 
     /// The same, with so many of the changes left to what users wait for.
     pub fn batch_with_reserve(&mut self, ops: usize, reserve: usize) -> Option<Batch> {
-        let Cell { ledger, jobs, machines, links, fleet, names, .. } = self;
-        let draft = ledger.draft(&Book { jobs, machines, links, fleet, names }, ops, reserve);
+        let Cell { ledger, jobs, machines, links, fleet, names, aside, .. } = self;
+        let draft =
+            ledger.draft(&Book { jobs, machines, links, fleet, names, aside }, ops, reserve);
         for key in draft.long {
             self.ledger.hold_back(&key);
             if let Key::Machine(mid) = key {
@@ -96,6 +97,17 @@
         self.ledger.stamp(key.into(), stamp);
     }
 
+    /// A job that was taken for new is over, but how can't be read: it is set aside, and nothing of it
+    /// was started or told.
+    pub fn end_unreadable(&mut self, uid: &str) {
+        if let Some(id) = self.jobs.id(uid)
+            && self.jobs.get(&id).is_some_and(|job| !self.accepted(id, job))
+        {
+            self.drop_unaccepted(id);
+            self.aside.set_job(uid, format!("its record f/{uid} can't be read"));
+        }
+    }
+
     fn drop_unaccepted(&mut self, id: JobId) {
         let on: Vec<(MachineId, u32)> = self
             .machines
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -87,7 +87,7 @@
     pub on: Vec<OnRecord>,
 }
 
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OnRecord {
     pub j: String,
     pub t: u64,
--- a/crates/core/src/state/book.rs
+++ b/crates/core/src/state/book.rs
@@ -1,6 +1,7 @@
 //! What the records of a cell say: each is rendered from the state as it is now.
 
 use crate::records::*;
+use crate::state::aside::Aside;
 use crate::state::cell::Cell;
 use crate::state::fleet::Fleet;
 use crate::state::job::{CHUNK, Job, SPLIT};
@@ -24,6 +25,7 @@
     pub links: &'a Links,
     pub fleet: &'a Fleet,
     pub names: &'a Names,
+    pub aside: &'a Aside,
 }
 
 impl Book<'_> {
@@ -64,6 +66,7 @@
                 let j = self.jobs.get(&id)?.spec.uid.to_string();
                 Some(OnRecord { j, t, r: to_ranges(tasks) })
             })
+            .chain(m.foreign.iter().cloned())
             .collect();
         MachineRecord {
             addr: m.addr.clone(),
@@ -109,13 +112,15 @@
                 };
                 let whole = format!("d/{}/{chunk}", job.spec.uid);
                 let record = ranges(from, CHUNK);
-                if record.bytes() <= ledger.value_limit {
+                // A record that can't be read is left as it is; the parts are as good.
+                if record.bytes() <= ledger.value_limit && !self.aside.is_sealed(&whole) {
                     return vec![put(whole, record)];
                 }
                 // Too scattered for one value: in parts, which an older version reads as well.
                 let n = CHUNK / SPLIT;
                 let part = |p| (format!("{whole}/{p}"), ranges(from + p * n, n));
-                (0..SPLIT).map(part).map(|(path, record)| put(path, record)).collect()
+                let parts = (0..SPLIT).map(part).filter(|(path, _)| !self.aside.is_sealed(path));
+                parts.map(|(path, record)| put(path, record)).collect()
             }
             Key::Machine(mid) => match self.machines.get(mid) {
                 Some(m) => {
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -3,6 +3,7 @@
 
 use crate::records::Cond;
 use crate::settings::Settings;
+use crate::state::aside::Aside;
 use crate::state::finals::Finals;
 use crate::state::fleet::{Flavor, Fleet};
 use crate::state::job::{CHUNK, Job, SPLIT, Spec};
@@ -12,7 +13,7 @@
 use crate::state::names::*;
 use crate::state::rates::Rates;
 use crate::state::table::Table;
-use crate::state::teams::Teams;
+use crate::state::teams::{Teams, Usage};
 use copperhaven_wire::jobs::{JobBody, Precedence};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -35,6 +36,7 @@
     pub finals: Finals,
     pub ledger: Ledger,
     pub links: Links,
+    pub aside: Aside,
     pub rates: Rates,
     pub fleet: Fleet,
     pub direct: Vec<Direct>,
@@ -67,6 +69,7 @@
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
             links: Links::default(),
+            aside: Aside::default(),
             finals: Finals::default(),
             settings,
             term,
@@ -117,6 +120,35 @@
         (self.settings.deployment.workers.report_s * 3000.0) as u64 + 1000
     }
 
+    /// When nothing can be running any more on a machine that has not been heard in this term.
+    pub fn unheard_over(&self, now: u64) -> bool {
+        now > self.taken + self.settings.holding_ms() + self.settings.lease_ms()
+    }
+
+    /// What tasks that no readable record tells of may be using at most. Whose they are is not
+    /// known, so it counts against the limit of every team (rule `quota`).
+    pub fn unknown_usage(&self) -> Usage {
+        let mut unknown = Usage::default();
+        if self.aside.is_empty() {
+            return unknown;
+        }
+        for m in self.machines.values().filter(|m| !m.foreign.is_empty()) {
+            unknown.cpus += (m.cpus - m.used_cpus).max(0.0);
+            unknown.cards += (m.cards - m.used_cards).max(0.0);
+        }
+        let largest = |f: fn(&Flavor) -> f64| self.flavors.iter().map(f).fold(0.0, f64::max);
+        for _ in self.aside.machines() {
+            unknown.cpus += largest(|f| f.cpus);
+            unknown.cards += largest(|f| f.cards);
+        }
+        unknown
+    }
+
+    /// May a waiting task of this job be on a machine whose record can't be used?
+    pub fn may_be_hidden(&self, job: &Job) -> bool {
+        job.accept_ver == 0 && self.aside.may_hold(&job.spec.uid)
+    }
+
     /// When nothing can be running on a machine any more, for want of a renewed lease.
     pub fn lease_over(&self, m: &Machine, now: u64) -> bool {
         let lease = self.settings.lease_ms();
@@ -281,6 +313,7 @@
             images: Vec::new(),
             cache_gb: f.cache_gb,
             ended: Vec::new(),
+            foreign: Vec::new(),
             strays: Vec::new(),
             blamed: 0,
             accused: BTreeMap::new(),
--- a/crates/core/src/state/job.rs
+++ b/crates/core/src/state/job.rs
@@ -95,6 +95,8 @@
     pub awaits: BTreeSet<Arc<str>>,
     /// How many records of its own list more of them.
     pub parts: u32,
+    /// It needs a job of which nobody can tell whether it is cancelled: so nobody can tell of it.
+    pub doubt: bool,
     /// Cancelled because of a job that it needs; that one's record says so.
     pub derived: bool,
     /// When it should be done for its own deadline or that of the jobs that need it, and when it
@@ -157,6 +159,7 @@
             turn_at: at,
             awaits: BTreeSet::new(),
             parts: 0,
+            doubt: false,
             derived: false,
             due: None,
             eta: 0,
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -1,5 +1,6 @@
 //! Machines: what each may hold, and what its worker last said.
 
+use crate::records::OnRecord;
 use crate::state::job::Spec;
 use crate::state::names::*;
 use crate::state::table::Row;
@@ -95,6 +96,8 @@
     pub images: Vec<(ImageId, f64)>,
     pub(crate) cache_gb: f64,
     pub(crate) ended: Vec<Ended>,
+    /// Tasks of jobs that are set aside and that may be on it: its record goes on listing them.
+    pub foreign: Vec<OnRecord>,
     /// Tasks it lists that belong to no open job.
     pub(crate) strays: Vec<(String, u64)>,
     /// Failed tasks since its last success: of jobs that are known to run elsewhere, and of jobs
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Parts know nothing of one another beyond what they import: names, jobs and machines (`table`), what
 //! teams use (`teams`), which records are dirty or saved (`ledger`), links between jobs (`links`), run
-//! times (`rates`), rentals (`fleet`). The slices act on the cell; nothing here imports a slice.
+//! times (`rates`), rentals (`fleet`), what could
+//! not be read (`aside`). The slices act on the cell; nothing here imports a slice.
 
+pub mod aside;
 pub mod book;
 pub mod cell;
 pub mod finals;
--- a/crates/core/src/state/teams.rs
+++ b/crates/core/src/state/teams.rs
@@ -108,9 +108,10 @@
         split.of(spec).add(spec, tasks);
     }
 
-    /// A new pass: nothing is kept for anybody.
-    pub fn release_held(&mut self) {
-        self.held.fill(Usage::default());
+    /// A new pass: nothing is kept for anybody, but for what tasks may be using of which it is not
+    /// known whose they are.
+    pub fn release_held(&mut self, unknown: Usage) {
+        self.held.fill(unknown);
     }
 
     /// Keeps so much of the team's limit for a job that those served after it don't take what
--- a/crates/core/src/takeover.rs
+++ b/crates/core/src/takeover.rs
@@ -2,11 +2,14 @@
 
 use crate::admission::shape::admit_shape;
 use crate::records::*;
+use crate::state::aside::MayHold;
 use crate::state::cell::Cell;
 use crate::state::job::{CHUNK, Wait};
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Entry};
+use copperhaven_wire::jobs::check;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 type Rows<T> = Vec<(String, T, u64)>;
 
@@ -18,33 +21,110 @@
     pub machines: Rows<MachineRecord>,
     pub rentals: Rows<RentalRecord>,
     pub links: Rows<LinksRecord>,
+    /// Records that can't be read: path and version.
+    pub bad: Vec<(String, u64)>,
 }
 
 /// Puts together what an earlier leader has left. `now` is this leader's steady clock, `wall_ms` the
-/// time of day, both in milliseconds.
+/// time of day, both in milliseconds. What can't be read or used is set aside (`state::aside`).
 pub fn rebuild(cell: &mut Cell, read: Records, now: u64, wall_ms: u64) {
-    let Records { jobs, done, machines, rentals, links } = read;
-    let mut more: BTreeMap<String, Vec<String>> = BTreeMap::new();
+    let Records { jobs, done, machines, rentals, links, bad } = read;
+    set_aside(cell, bad);
+    let links = read_links(cell, links);
+    read_jobs(cell, jobs, links, (now, wall_ms));
+    read_done(cell, done);
+    read_machines(cell, machines, now);
+    for (path, r, stamp) in rentals {
+        cell.ledger.stamp(path.clone(), Some(stamp));
+        let what = cell.names.types.get(&r.berth).zip(cell.names.zones.get(&r.yard));
+        if let Some((kind, zone)) = what {
+            let name = path.trim_start_matches("r/");
+            cell.fleet.inherit(name, (kind, zone, r.spot), r.number.clamp(1, 50));
+        }
+    }
+    let ids: Vec<_> = cell.jobs.keys().copied().collect();
+    for id in ids {
+        let Some(job) = cell.jobs.get(&id) else { continue };
+        if job.cancelled() {
+            cell.stop_all(id, now, 0.0);
+        } else if job.awaits.is_empty()
+            && let Ok(routed) = cell.admit(&job.spec.clone(), now)
+            && let Some(job) = cell.jobs.get_mut(&id)
+        {
+            job.routed = routed;
+        }
+        cell.settle(id);
+    }
+    cell.follow(now);
+}
+
+/// What can't be read is named and left as it is. A job is nobody's to start, cancel or take for new; a
+/// machine may hold tasks of any job; finished ranges are worked out once more and recorded beside; a
+/// job whose links are missing is set aside itself; a rental is never asked for again, and what it
+/// may have rented shows in reports and lists.
+fn set_aside(cell: &mut Cell, bad: Vec<(String, u64)>) {
+    for (path, stamp) in bad {
+        tracing::error!("the record {path} can't be read: it is left as it is");
+        cell.ledger.stamp(path.clone(), Some(stamp));
+        match path.split_once('/') {
+            Some(("j", uid)) => {
+                cell.aside.set_job(uid, format!("its record {path} can't be read"));
+            }
+            Some(("m", name)) => cell.aside.set_machine(name, MayHold::Anything),
+            _ => {}
+        }
+        if !path.starts_with("m/") {
+            cell.aside.seal(&path);
+        }
+    }
+}
+
+/// The parts of long lists of what jobs wait for, by path.
+fn read_links(cell: &mut Cell, links: Rows<LinksRecord>) -> BTreeMap<String, Vec<String>> {
+    let mut out = BTreeMap::new();
     for (path, record, stamp) in links {
         cell.ledger.stamp(path.clone(), Some(stamp));
-        let uid = path.split('/').nth(1).unwrap_or_default();
-        more.entry(uid.into()).or_default().extend(record.on);
+        out.insert(path, record.on);
     }
+    out
+}
+
+/// Open jobs, and what they wait for.
+fn read_jobs(
+    cell: &mut Cell,
+    jobs: Rows<JobRecord>,
+    mut links: BTreeMap<String, Vec<String>>,
+    (now, wall_ms): (u64, u64),
+) {
     let mut parked = vec![];
     for (path, mut record, stamp) in jobs {
-        cell.ledger.stamp(path, Some(stamp));
+        cell.ledger.stamp(path.clone(), Some(stamp));
         let waits = record.waits.take();
         if let Some(waits) = &waits {
             record.job.berths.clone_from(&waits.berths);
         }
         let settings = cell.settings.clone();
         let flavors = std::mem::take(&mut cell.flavors);
-        let spec = admit_shape(&record.job, &mut cell.names, &flavors, &settings);
+        let uid = path.trim_start_matches("j/");
+        let parts = waits.as_ref().filter(|_| !record.cancelled).map_or(0, |w| w.parts);
+        let lacks = (0..parts).map(|n| format!("a/{uid}/{n}")).find(|p| !links.contains_key(p));
+        let spec = if let Some(part) = lacks {
+            Err(format!("{part}, which lists what it waits for, is missing"))
+        } else if uid != record.job.uid {
+            Err(format!("it is of {}", record.job.uid))
+        } else if let Err(e) = check(&record.job) {
+            Err(e.to_string())
+        } else {
+            admit_shape(&record.job, &mut cell.names, &flavors, &settings)
+                .map_err(|e| format!("accepted under other settings: {e}"))
+        };
         cell.flavors = flavors;
         let spec = match spec {
             Ok(spec) => spec,
             Err(e) => {
-                tracing::error!("job {} was accepted under other settings: {e}", record.job.uid);
+                tracing::error!("the record {path} can't be used and is left as it is: {e}");
+                cell.aside.set_job(uid, format!("its record can't be used: {e}"));
+                cell.aside.seal(&path);
                 continue;
             }
         };
@@ -75,25 +155,42 @@
     for (id, waits) in parked {
         let Some(job) = cell.jobs.get_mut(&id) else { continue };
         job.parts = waits.parts;
-        let on = waits.on.into_iter().chain(more.remove(&*job.spec.uid).unwrap_or_default());
-        let on = on.map(Into::into).collect();
+        let paths = (0..waits.parts).map(|part| format!("a/{}/{part}", job.spec.uid));
+        let more = paths.filter_map(|path| links.remove(&path)).flatten();
+        let on = waits.on.into_iter().chain(more).map(Arc::from).collect();
         cell.park(id, on, now);
     }
+    for uid in cell.aside.job_ids() {
+        cell.doubt(&uid);
+    }
+    drop_unused_links(cell);
+}
+
+fn drop_unused_links(cell: &mut Cell) {
     // Left over from submissions that were never accepted, or of jobs that wait no more.
     let unused = |path: &&String| {
         let uid = path.strip_prefix("a/").and_then(|p| p.split('/').next());
-        uid.is_some_and(|uid| cell.job(uid).is_none_or(|(_, j)| j.parts == 0))
+        uid.is_some_and(|uid| {
+            let known = cell.aside.job(uid).is_some() || cell.aside.is_sealed(path);
+            !known && cell.job(uid).is_none_or(|(_, j)| j.parts == 0)
+        })
     };
     let unused: Vec<String> = cell.ledger.paths().filter(unused).cloned().collect();
     for path in unused {
         cell.touch(Key::Drop(path));
     }
+}
+
+fn read_done(cell: &mut Cell, done: Rows<DoneRecord>) {
     for (path, record, stamp) in done {
         let mut parts = path.split('/').skip(1);
-        let id = parts.next().and_then(|uid| cell.jobs.id(uid));
+        let uid = parts.next().unwrap_or_default();
         let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
         cell.ledger.stamp(path.clone(), Some(stamp));
-        let (Some(id), Some(chunk)) = (id, chunk) else {
+        if cell.aside.job(uid).is_some() {
+            continue;
+        }
+        let (Some(id), Some(chunk)) = (cell.jobs.id(uid), chunk) else {
             // Left over from a job that is final.
             cell.touch(Key::Drop(path));
             continue;
@@ -108,20 +205,37 @@
             }
         }
     }
+}
+
+/// Machines and the tasks that may be on them: a superset.
+fn read_machines(cell: &mut Cell, machines: Rows<MachineRecord>, now: u64) {
     for (path, r, stamp) in machines {
         cell.ledger.stamp(path.clone(), Some(stamp));
+        let name = path.trim_start_matches("m/").to_string();
+        // Fences the old leader: a worker that has seen this term drops its responses.
+        cell.direct.push(Direct { addr: r.addr.clone(), shift: r.shift, orders: vec![] });
         let (Some(kind), Some(zone)) =
             (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
         else {
-            tracing::error!("machine record {path} names an unknown type or zone");
+            let (berth, yard) = (&r.berth, &r.yard);
+            tracing::error!("the record {path} can't be used: type `{berth}`, zone `{yard}`");
+            let jobs = r.on.into_iter().map(|on| on.j).collect();
+            cell.aside.set_machine(&name, MayHold::Jobs(jobs));
             continue;
         };
-        let name = path.trim_start_matches("m/").to_string();
         let mid = cell.add_machine(&name, &r.addr, kind, zone, r.spot, now);
-        for on in &r.on {
-            // A job that is not open is final: what is done has exited, and a cancelled job only
-            // becomes final once none of its tasks can be on a machine.
-            let Some(id) = cell.jobs.id(on.j.as_str()) else { continue };
+        for on in r.on {
+            let Some(id) = cell.jobs.id(on.j.as_str()) else {
+                // A job that is not open is final: what is done has exited, and a cancelled job only
+                // becomes final once none of its tasks can be on a machine. What is set aside may
+                // be neither.
+                if cell.aside.job(&on.j).is_some()
+                    && let Some(m) = cell.machines.get_mut(&mid)
+                {
+                    m.foreign.push(on);
+                }
+                continue;
+            };
             for task in from_ranges(&on.r) {
                 let job = &cell.jobs[&id];
                 if task < job.spec.tasks && !job.done.contains(&task) {
@@ -134,29 +248,5 @@
                 }
             }
         }
-        // Fences the old leader: a worker that has seen this term drops its responses.
-        cell.direct.push(Direct { addr: r.addr, shift: r.shift, orders: vec![] });
-    }
-    for (path, r, stamp) in rentals {
-        cell.ledger.stamp(path.clone(), Some(stamp));
-        let what = cell.names.types.get(&r.berth).zip(cell.names.zones.get(&r.yard));
-        if let Some((kind, zone)) = what {
-            let name = path.trim_start_matches("r/");
-            cell.fleet.inherit(name, (kind, zone, r.spot), r.number.clamp(1, 50));
-        }
-    }
-    let ids: Vec<_> = cell.jobs.keys().copied().collect();
-    for id in ids {
-        let Some(job) = cell.jobs.get(&id) else { continue };
-        if job.cancelled() {
-            cell.stop_all(id, now, 0.0);
-        } else if job.awaits.is_empty()
-            && let Ok(routed) = cell.admit(&job.spec.clone(), now)
-            && let Some(job) = cell.jobs.get_mut(&id)
-        {
-            job.routed = routed;
-        }
-        cell.settle(id);
     }
-    cell.follow(now);
 }
--- a/crates/core/src/workers/leases.rs
+++ b/crates/core/src/workers/leases.rs
@@ -14,6 +14,9 @@
             .map(|(mid, _)| *mid)
             .collect();
         for mid in &over {
+            if let Some(m) = self.machines.get_mut(mid) {
+                m.foreign.clear();
+            }
             let keys: Vec<(JobId, u32)> = self
                 .machines
                 .get(mid)
@@ -24,9 +27,29 @@
                 self.lost_task(id);
             }
         }
+        let free = |c: &Cell, name: &str| match c.machines.id(name) {
+            Some(mid) => c.machines.get(&mid).is_some_and(|m| c.lease_over(m, now)),
+            None => c.unheard_over(now),
+        };
+        let hidden: Vec<String> =
+            self.aside.machines().filter(|name| free(self, name)).cloned().collect();
+        for name in hidden {
+            self.nothing_hidden(&name, "its lease has run out");
+            if !self.machines.has(&name) {
+                self.ledger.drop_path(format!("m/{name}"));
+            }
+        }
         over
     }
 
+    /// It is known by now what is on this machine, whose record can't be used.
+    pub(crate) fn nothing_hidden(&mut self, name: &str, why: &str) {
+        if self.aside.clear_machine(name) {
+            tracing::info!("what m/{name} may have held is known: {why}");
+            self.stir = true;
+        }
+    }
+
     /// The machine is gone for certain: so is all that was on it.
     pub fn remove_machine(&mut self, mid: MachineId) {
         let Some(m) = self.machines.get(&mid) else { return };
@@ -37,6 +60,7 @@
             self.lost_task(id);
         }
         self.machines.remove(&mid);
+        self.nothing_hidden(&name, "the cloud has taken it back");
         self.ledger.forget(&Key::Machine(mid));
         self.ledger.drop_path(format!("m/{name}"));
         for job in self.jobs.values_mut() {
--- a/crates/core/src/workers/orders.rs
+++ b/crates/core/src/workers/orders.rs
@@ -39,7 +39,10 @@
         }
         let mut orders = Vec::new();
         for x in &m.ended {
-            if !x.done || x.id.is_none_or(|id| self.finished(id, x.task)) {
+            let aside =
+                |p: &str| p.split('/').next().is_some_and(|uid| self.aside.job(uid).is_some());
+            // What a job that is set aside has done is kept until its record is mended.
+            if !x.done || x.id.map_or(!aside(&x.parcel), |id| self.finished(id, x.task)) {
                 orders.push(Order::Forget { parcel: x.parcel.clone(), attempt: x.attempt });
             }
         }
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -1,12 +1,14 @@
 //! Reports: what they prove and what follows.
 
+use crate::records::{OnRecord, to_ranges};
 use crate::state::cell::Cell;
 use crate::state::job::Wait;
+use crate::state::ledger::Key;
 use crate::state::machine::{Ended, Entry, RESERVE_MS, Seen};
 use crate::state::names::*;
 use copperhaven_wire::jobs::Shape;
 use copperhaven_wire::workers::{Parcel, Report};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What a report came to.
 #[derive(Debug, PartialEq, Eq)]
@@ -72,9 +74,11 @@
             self.stir = true;
         }
         m.recall_at = r.recall_s.map(|s| now + (s.clamp(0.0, 86_400.0) * 1000.0) as u64);
+        let hidden = self.aside.machine(&r.hearth);
         m.ended.clear();
         m.strays.clear();
         let mut listed: BTreeSet<(JobId, u32)> = BTreeSet::new();
+        let mut foreign: BTreeMap<(&str, u64), BTreeSet<u32>> = BTreeMap::new();
         for p in &r.parcels {
             let Some((uid, task)) = split(&p.parcel) else { continue };
             let known = self.jobs.id(uid);
@@ -108,9 +112,18 @@
             match known {
                 Some(id) => {
                     listed.insert((id, task));
+                    if hidden {
+                        self.adopt(mid, id, task, p.attempt, now);
+                    }
                     self.on_seen(mid, id, task, p.attempt, seen, now);
                 }
+                // What its record would say is not known: what may go on is not halted before it has
+                // shown this term.
+                None if hidden && !of_term && self.is_open(uid) => {}
                 None => {
+                    if self.aside.job(uid).is_some() {
+                        foreign.entry((uid, p.attempt)).or_default().insert(task);
+                    }
                     if let Some(m) = self.machines.get_mut(&mid) {
                         m.strays.push((p.parcel.clone(), p.attempt));
                     }
@@ -135,6 +148,9 @@
                 self.lost_task(id);
             }
         }
+        if of_term {
+            self.show_hidden(mid, foreign);
+        }
         let notice = self.machines.get(&mid).is_some_and(|m| m.recall_at.is_some());
         if notice {
             self.drain(mid, now);
@@ -192,6 +208,45 @@
         }
     }
 
+    fn is_open(&self, uid: &str) -> bool {
+        self.job(uid).is_some_and(|(_, job)| job.open())
+    }
+
+    /// A task that a machine lists whose record can't be used: it was started by an earlier leader
+    /// and goes on, if nothing speaks against it.
+    fn adopt(&mut self, mid: MachineId, id: JobId, task: u32, attempt: u64, now: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let free = job.open() && job.awaits.is_empty() && job.waiting.contains(&task);
+        let mates = job.spec.shape != Shape::Gang || job.onto.is_empty() || job.attempt == attempt;
+        if !free || !mates {
+            return;
+        }
+        let ver = self.touch(Key::Machine(mid));
+        let mut e = Entry::new(attempt, ver, now);
+        e.inherited = true;
+        self.attach(mid, id, task, e);
+    }
+
+    /// A report of this term tells all that is on a machine, tasks of jobs that are set aside
+    /// among it. Its record is written anew if that differs.
+    fn show_hidden(&mut self, mid: MachineId, foreign: BTreeMap<(&str, u64), BTreeSet<u32>>) {
+        let Some(m) = self.machines.get_mut(&mid) else { return };
+        let foreign: Vec<OnRecord> = foreign
+            .into_iter()
+            .map(|((j, t), tasks)| OnRecord { j: j.into(), t, r: to_ranges(tasks) })
+            .collect();
+        let name = m.name.clone();
+        if m.foreign != foreign {
+            m.foreign = foreign;
+            self.touch(Key::Machine(mid));
+            self.stir = true;
+        }
+        if self.aside.machine(&name) {
+            self.touch(Key::Machine(mid));
+            self.nothing_hidden(&name, "it has reported");
+        }
+    }
+
     /// A task exited: its place is free, and the reason tells what comes next.
     fn on_ended(&mut self, mid: MachineId, id: JobId, task: u32, p: &Parcel, now: u64) {
         let Some(entry) = self.detach(mid, id, task) else { return };
--- a/crates/core/tests/failures/troubles.rs
+++ b/crates/core/tests/failures/troubles.rs
@@ -57,6 +57,19 @@
                 l.mute.extend(hit);
             }
         }
+        // A record is spoiled; later it is mended, which the next leader finds.
+        if self.spoils && self.chance(0.006) {
+            let kinds = ["j/", "d/", "m/", "m/", "a/", "r/"];
+            let kind = kinds[self.rng.random_range(0..kinds.len())];
+            let keys = self.store.keys().filter(|k| k.starts_with(kind));
+            let keys: Vec<String> = keys.cloned().collect();
+            if !keys.is_empty() {
+                let key = keys[self.rng.random_range(0..keys.len())].clone();
+                let until = now + self.rng.random_range(5_000..120_000);
+                self.spoiled.insert(key, until);
+            }
+        }
+        self.spoiled.retain(|_, until| now < *until);
         if self.chance(0.004) {
             let i = self.rng.random_range(0..self.workers.len());
             self.workers[i].hangs_until = now + self.rng.random_range(1_000..25_000);
--- a/crates/core/tests/failures/world.rs
+++ b/crates/core/tests/failures/world.rs
@@ -96,6 +96,8 @@
     /// A transaction is on its way.
     pub writing: bool,
     pub waiting: Vec<(usize, (u64, u64), u64)>,
+    /// Records that it could not read.
+    pub bad: BTreeSet<String>,
 }
 
 pub struct World {
@@ -116,6 +118,12 @@
     pub asked_to_cancel: BTreeSet<String>,
     /// From then on the store takes less.
     pub falls: u64,
+    /// Records that can't be read, until when.
+    /// Are records spoiled in this schedule?
+    pub spoils: bool,
+    pub spoiled: BTreeMap<String, u64>,
+    /// How often a leader found such records, and set tasks or jobs aside for them.
+    pub found: usize,
     pub refused: usize,
     /// Starts of tasks whose jobs had waited for others.
     pub waited: usize,
@@ -172,6 +180,9 @@
             told_done: BTreeSet::new(),
             asked_to_cancel: BTreeSet::new(),
             falls: 6_000 + 8_000 * (seed % 10),
+            spoils: seed % 3 == 2,
+            spoiled: BTreeMap::new(),
+            found: 0,
             refused: 0,
             waited: 0,
             finished: BTreeMap::new(),
@@ -221,9 +232,11 @@
         for change in &batch.apply {
             match change {
                 Change::Put { put, v, .. } => {
+                    self.spoiled.remove(put);
                     self.store.insert(put.clone(), (v.clone(), self.rev));
                 }
                 Change::Delete { delete } => {
+                    self.spoiled.remove(delete);
                     self.store.remove(delete);
                 }
             }
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -79,13 +79,24 @@
     rmp_serde::from_slice::<Id>(body).ok().map(|i| i.uid).filter(|u| valid_uid(u))
 }
 
+/// Reads a submission (protocol, `POST /api/jobs`).
 pub fn parse(body: &[u8]) -> Result<JobBody, Malformed> {
-    let bad = |why: &str| Err(Malformed(why.to_string()));
     // Structs also decode from MessagePack lists; the protocol wants a map.
     if !matches!(body.first(), Some(0x80..=0x8f | 0xde | 0xdf)) {
-        return bad("not a map");
+        return Err(Malformed("not a map".into()));
     }
     let mut job: JobBody = rmp_serde::from_slice(body).map_err(|e| Malformed(e.to_string()))?;
+    check(&job)?;
+    if let Some(awaits) = &mut job.awaits {
+        awaits.sort_unstable();
+        awaits.dedup();
+    }
+    Ok(job)
+}
+
+/// Do its fields keep to the protocol? The error names the first that does not.
+pub fn check(job: &JobBody) -> Result<(), Malformed> {
+    let bad = |why: &str| Err(Malformed(why.to_string()));
     if !valid_uid(&job.uid) {
         return bad("uid");
     }
@@ -122,11 +133,7 @@
     if awaits.clone().any(|uid| *uid == job.uid) {
         return bad("awaits: the job itself");
     }
-    if let Some(awaits) = &mut job.awaits {
-        awaits.sort_unstable();
-        awaits.dedup();
-    }
-    Ok(job)
+    Ok(())
 }
 
 #[derive(Debug, Serialize, Deserialize)]
