Release pass: subcommands, log formats, samples, ports tried again; tests against a stand-in store

Tests of the ledger without the rest, of elections and takeovers on unreadable records against a stand-in for the state service.

--- a/crates/controller/src/front.rs
+++ b/crates/controller/src/front.rs
@@ -1,11 +1,12 @@
 //! The door for users, workers and health checks.
 
 use crate::cluster::frames::Op;
+use crate::listen::{ListenError, PATIENCE, listen};
 use crate::node::Node;
 use crate::reply::Reply;
 use copperhaven_wire::limits::MOST_BODY;
 use poem::http::StatusCode;
-use poem::listener::{Acceptor, Listener, TcpListener};
+use poem::listener::{Acceptor, TcpAcceptor};
 use poem::web::{Data, LocalAddr, Path, RemoteAddr};
 use poem::{Body, EndpointExt, Response, Route, Server, get, handler, post};
 use std::pin::Pin;
@@ -73,7 +74,7 @@
 /// A listener that holds at most so many connections; one more is closed at once, which tells
 /// the load balancer to try another node.
 struct Bounded {
-    inner: poem::listener::TcpAcceptor,
+    inner: TcpAcceptor,
     slots: Arc<Semaphore>,
 }
 
@@ -138,8 +139,18 @@
     }
 }
 
-pub async fn run(node: Arc<Node>) -> std::io::Result<()> {
-    let inner = TcpListener::bind(node.settings.front.clone()).into_acceptor().await?;
+/// Why the doors are not open (any more).
+#[derive(Debug, thiserror::Error)]
+pub enum DoorError {
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    #[error("serving users: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+pub async fn run(node: Arc<Node>) -> Result<(), DoorError> {
+    let inner = listen(&node.settings.front, "front", PATIENCE).await?;
+    let inner = TcpAcceptor::from_tokio(inner)?;
     // Some sockets are left for the state service, the cloud, the workers and the peers.
     let most = node.settings.deployment.limits.max_connections;
     let slots = Arc::new(Semaphore::new((most * 3 / 4).max(1)));
@@ -150,5 +161,6 @@
         .at("/v1/report", post(report))
         .at("/up", get(up))
         .data(node);
-    Server::new_with_acceptor(Bounded { inner, slots }).idle_timeout(IDLE_LIMIT).run(app).await
+    Server::new_with_acceptor(Bounded { inner, slots }).idle_timeout(IDLE_LIMIT).run(app).await?;
+    Ok(())
 }
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -185,3 +185,6 @@
         _ = dealings::run(node.clone(), term) => "superseded",
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/controller/src/leadership/tests.rs
@@ -0,0 +1,155 @@
+//! What a controller does about records that can't be read, against a stand-in for the state service.
+
+use super::load::load;
+use super::*;
+use crate::store::StoreError;
+use copperhaven_core::for_tests::{record, sample};
+use copperhaven_wire::encode;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Answers look-ups and lists from a map, grants leases, and notes every request.
+#[derive(Default)]
+struct StandIn {
+    records: BTreeMap<String, Value>,
+    asked: Mutex<Vec<String>>,
+}
+
+impl StandIn {
+    fn answer(&self, request: &str) -> (u16, Value) {
+        let mut words = request.split(' ');
+        let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        self.asked.lock().expect("lock").push(format!("{method} {path}"));
+        if let Some(key) = path.strip_prefix("/store/") {
+            return match self.records.get(key) {
+                Some(v) => (200, json!({"path": key, "v": v, "stamp": 5, "charter": null})),
+                None => (404, json!({"ledgerRev": 9})),
+            };
+        }
+        if let Some(query) = path.strip_prefix("/store?prefix=") {
+            let prefix = query.split('&').next().unwrap_or_default();
+            let pairs = self.records.iter().filter(|(key, _)| key.starts_with(prefix));
+            let pairs: Vec<Value> =
+                pairs.map(|(key, v)| json!({"path": key, "v": v, "stamp": 5})).collect();
+            return (200, json!({"pairs": pairs, "more": false, "ledgerRev": 9}));
+        }
+        if path == "/leases" {
+            (200, json!({"charter": 3}))
+        } else {
+            (200, json!({"ledgerRev": 10}))
+        }
+    }
+
+    /// A node whose state service this is; served as long as the returned task lives.
+    async fn node(self: Arc<Self>) -> Node {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut settings = sample();
+        settings.endpoints.state = listener.local_addr().expect("bound").to_string();
+        tokio::spawn(async move {
+            while let Ok((mut io, _)) = listener.accept().await {
+                let this = self.clone();
+                tokio::spawn(async move {
+                    let mut buffer = vec![0; 64 << 10];
+                    while let Ok(n @ 1..) = io.read(&mut buffer).await {
+                        let (status, body) = this.answer(&String::from_utf8_lossy(&buffer[..n]));
+                        let body = encode(&body);
+                        let head = format!(
+                            "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
+                            body.len()
+                        );
+                        let all = [head.as_bytes(), &body].concat();
+                        if io.write_all(&all).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        let node = Node::new(settings);
+        node.state.lock().expect("lock").flavors = Some(vec![]);
+        node
+    }
+}
+
+fn run<F: Future>(f: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("runtime").block_on(f)
+}
+
+fn stand_in(records: &[(&str, Value)]) -> Arc<StandIn> {
+    let records = records.iter().map(|(key, v)| (key.to_string(), v.clone())).collect();
+    Arc::new(StandIn { records, ..StandIn::default() })
+}
+
+#[test]
+fn without_a_readable_term_nobody_leads() {
+    // (what stands under the key, the term won)
+    let cases = [
+        (json!({"term": 7}), Some(8)),
+        (json!({"term": "x"}), None),
+        (json!([]), None),
+        (json!(null), None),
+    ];
+    for (v, won) in cases {
+        run(async {
+            let service = stand_in(&[(TERM, v.clone())]);
+            let node = service.clone().node().await;
+            assert_eq!(elect(&node).await.map(|(term, ..)| term), won, "{v}");
+            let named = node.state.lock().expect("lock").unreadable.contains(TERM);
+            assert_eq!(named, won.is_none(), "{v}");
+            let wrote = service.asked.lock().expect("lock").iter().any(|a| a == "POST /commit");
+            assert_eq!(wrote, won.is_some(), "{v}: nothing is written without it");
+            // The service answers: it is not taken for out of reach.
+            assert!(node.state.lock().expect("lock").no_state.is_none());
+        });
+    }
+}
+
+#[test]
+fn a_takeover_reads_all_that_can_be_read_and_names_the_rest() {
+    run(async {
+        let good = serde_json::to_value(record("wk-1")).expect("JSON");
+        let service = stand_in(&[
+            ("j/wk-1", good),
+            ("j/wk-2", json!({"job": 1})),
+            ("d/wk-1/0", json!({"r": "none"})),
+            ("m/n-1", json!("gone")),
+            ("r/r-1-1", json!({})),
+            ("a/wk-3/0", json!(null)),
+            (PROVIDED, json!({"machines": -1})),
+        ]);
+        let node = service.node().await;
+        load(&node, 1, 5).await.expect("it leads all the same");
+        let state = node.state.lock().expect("lock");
+        let cell = state.cell.as_ref().expect("a cell");
+        // Without machine types no job can be told to fit: both are set aside, each for its reason.
+        assert!(cell.aside.job("wk-1").is_some_and(|why| why.contains("fits no allowed")));
+        assert!(cell.aside.job("wk-2").is_some_and(|why| why.contains("j/wk-2 can't be read")));
+        assert!(cell.aside.machine("n-1"));
+        for path in ["d/wk-1/0", "r/r-1-1", "a/wk-3/0", "j/wk-2"] {
+            assert!(cell.aside.is_sealed(path), "{path}");
+        }
+        assert_eq!(cell.fleet.provided, Some(0), "nothing is kept up without work");
+        assert!(state.unreadable.contains(PROVIDED));
+    });
+}
+
+#[test]
+fn a_question_about_what_can_t_be_read_is_not_answered_with_404() {
+    run(async {
+        for key in ["j/wk-2", "f/wk-2"] {
+            let service = stand_in(&[(key, json!(3))]);
+            let node = service.node().await;
+            let got = node.store.get::<FinalRecord>("f/wk-2").await;
+            assert_eq!(matches!(got, Err(StoreError::Unreadable { .. })), key == "f/wk-2");
+            let reply = node.ask(crate::cluster::frames::Op::Show, b"wk-2").await;
+            assert_eq!(reply.status, 503, "{key}");
+            // One that is nowhere on record still is unknown.
+            let reply = node.ask(crate::cluster::frames::Op::Show, b"wk-3").await;
+            assert_eq!(reply.status, 404);
+        }
+    });
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod front;
 pub mod http;
 pub mod leadership;
+pub mod listen;
 pub mod metrics;
 pub mod node;
 pub mod peers;
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -1,31 +1,51 @@
-//! Reads the settings and wires the parts together.
+//! The command: reads the settings and wires the parts together.
 
-use clap::{Parser, Subcommand, ValueEnum};
+use clap::{CommandFactory, Parser, Subcommand, ValueEnum};
 use copperhaven::{client, front, leadership, node::Node, peers};
-use copperhaven_core::settings;
+use copperhaven_core::settings::{self, Settings};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
-/// A cluster scheduler.
+/// Names the operators' settings where no flag does.
+const TUNING: &str = "COPPERHAVEN_TUNING";
+
+/// A cluster scheduler. `copperhaven --config FILE` is short for `copperhaven serve --config FILE`.
 #[derive(Parser)]
-#[command(version, about, subcommand_negates_reqs = true, args_conflicts_with_subcommands = true)]
+#[command(version, about, subcommand_negates_reqs = true)]
 struct Args {
     /// The platform's settings file (TOML).
     #[arg(long, required = true)]
     config: Option<PathBuf>,
     /// The operators' own settings (YAML).
-    #[arg(long, env = "COPPERHAVEN_TUNING")]
+    #[arg(long)]
     tuning: Option<PathBuf>,
-    /// Check the settings and exit.
+    /// Check the settings and exit, as `check` does.
     #[arg(long)]
     check: bool,
+    /// How log lines are written to standard error; LOG_LEVEL says which.
+    #[arg(long, global = true, value_enum, default_value = "text", env = "COPPERHAVEN_LOG_FORMAT")]
+    log_format: LogFormat,
     #[command(subcommand)]
     command: Option<Command>,
 }
 
+#[derive(clap::Args)]
+struct Files {
+    /// The platform's settings file (TOML); deploy/sample-platform.toml is one.
+    #[arg(long, required = true)]
+    config: PathBuf,
+    /// The operators' own settings (YAML); deploy/sample-operators.yaml is one.
+    #[arg(long, env = TUNING)]
+    tuning: Option<PathBuf>,
+}
+
 #[derive(Subcommand)]
 enum Command {
+    /// Run a controller.
+    Serve(Files),
+    /// Check the settings and exit: 0 they are valid, 2 they are not, and why.
+    Check(Files),
     /// Show what a job does and why it waits, or cancel it. Exit codes: 0 answered, 2 bad
     /// arguments, 3 unknown job, 4 no answer.
     Job {
@@ -38,6 +58,8 @@
         #[arg(long)]
         server: String,
     },
+    /// Tell the program's version and the release that it speaks to other controllers.
+    Version,
 }
 
 #[derive(Clone, Copy, PartialEq, ValueEnum)]
@@ -46,65 +68,99 @@
     Cancel,
 }
 
-fn ask(id: &str, server: &str, cancel: bool) -> ExitCode {
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("copperhaven: cannot start: {e}");
-            return ExitCode::FAILURE;
-        }
-    };
-    let (text, code) = runtime.block_on(client::job(id, server, cancel));
-    if code == client::DONE {
-        println!("{text}");
-    } else {
-        eprintln!("copperhaven: {text}");
-    }
-    ExitCode::from(code)
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum LogFormat {
+    /// Level and message.
+    Text,
+    /// One JSON object a line, with the time.
+    Json,
 }
 
-fn main() -> ExitCode {
-    let args = Args::parse();
-    if let Some(Command::Job { id, action, server }) = &args.command {
-        return ask(id, server, *action == Action::Cancel);
-    }
-    let Some(config) = &args.config else { return ExitCode::from(client::USAGE) };
+fn log_to_stderr(format: LogFormat) {
     let level = std::env::var("LOG_LEVEL").ok().and_then(|l| l.parse().ok());
-    tracing_subscriber::fmt()
+    let log = tracing_subscriber::fmt()
         .with_writer(std::io::stderr)
         .with_ansi(false)
         .with_target(false)
-        .without_time()
-        .with_max_level(level.unwrap_or(tracing::Level::INFO))
-        .init();
-    let settings = match settings::load(config, args.tuning.as_deref()) {
-        Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("copperhaven: {e}");
-            return ExitCode::from(2);
-        }
-    };
-    if args.check {
-        println!("settings of {} are valid", settings.member);
-        return ExitCode::SUCCESS;
+        .with_max_level(level.unwrap_or(tracing::Level::INFO));
+    match format {
+        LogFormat::Text => log.without_time().init(),
+        LogFormat::Json => log.json().flatten_event(true).with_current_span(false).init(),
     }
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => {
-            eprintln!("copperhaven: cannot start: {e}");
-            return ExitCode::FAILURE;
-        }
-    };
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, ExitCode> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| {
+        eprintln!("copperhaven: cannot start: {e}");
+        ExitCode::FAILURE
+    })
+}
+
+fn load(files: &Files) -> Result<Settings, ExitCode> {
+    settings::load(&files.config, files.tuning.as_deref()).map_err(|e| {
+        eprintln!("copperhaven: {e}");
+        ExitCode::from(client::USAGE)
+    })
+}
+
+fn check(files: &Files) -> Result<(), ExitCode> {
+    let settings = load(files)?;
+    println!("settings of {} are valid", settings.member);
+    Ok(())
+}
+
+fn job(id: &str, server: &str, cancel: bool) -> Result<(), ExitCode> {
+    let (text, code) = runtime()?.block_on(client::job(id, server, cancel));
+    if code == client::DONE {
+        println!("{text}");
+        return Ok(());
+    }
+    eprintln!("copperhaven: {text}");
+    Err(ExitCode::from(code))
+}
+
+/// Runs a controller, for as long as nothing is wrong.
+fn serve(files: &Files, format: LogFormat) -> Result<(), ExitCode> {
+    log_to_stderr(format);
+    let settings = load(files)?;
+    let runtime = runtime()?;
     let node = Arc::new(Node::new(settings));
     let ended = runtime.block_on(async {
         tokio::select! {
-            r = front::run(node.clone()) => r,
-            r = peers::run(node.clone()) => r,
+            r = front::run(node.clone()) => r.map_err(|e| e.to_string()),
+            r = peers::run(node.clone()) => r.map_err(|e| e.to_string()),
             () = leadership::run(node.clone()) => Ok(()),
         }
     });
     if let Err(e) = ended {
         eprintln!("copperhaven: {e}");
     }
-    ExitCode::FAILURE
+    Err(ExitCode::FAILURE)
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    if args.command.is_some() && (args.config.is_some() || args.tuning.is_some() || args.check) {
+        let why = "--config, --tuning and --check go behind the subcommand, or without one";
+        Args::command().error(clap::error::ErrorKind::ArgumentConflict, why).exit();
+    }
+    // As the subcommands do it.
+    let tuning = || args.tuning.clone().or_else(|| std::env::var_os(TUNING).map(PathBuf::from));
+    let files = args.config.clone().map(|config| Files { config, tuning: tuning() });
+    let done = match (&args.command, &files) {
+        (Some(Command::Serve(files)), _) => serve(files, args.log_format),
+        (Some(Command::Check(files)), _) => check(files),
+        (Some(Command::Job { id, action, server }), _) => {
+            job(id, server, *action == Action::Cancel)
+        }
+        (Some(Command::Version), _) => {
+            let release = copperhaven::cluster::frames::RELEASE;
+            println!("copperhaven {}, release {release}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        (None, Some(files)) if args.check => check(files),
+        (None, Some(files)) => serve(files, args.log_format),
+        (None, None) => Err(ExitCode::from(client::USAGE)),
+    };
+    done.err().unwrap_or(ExitCode::SUCCESS)
 }
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -2,13 +2,14 @@
 
 use crate::cluster::frames::{ANSWER, Header, Op, PING, read_frame};
 use crate::cluster::{IN_FLIGHT, Link, PeerView};
+use crate::listen::{ListenError, PATIENCE, listen};
 use crate::metrics;
 use crate::node::Node;
 use crate::reply::Reply;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 use zerocopy::byteorder::little_endian::U16;
@@ -134,8 +135,8 @@
     tokio::select! { _ = reader => {}, _ = writer => {} }
 }
 
-pub async fn run(node: Arc<Node>) -> std::io::Result<()> {
-    let listener = TcpListener::bind(&node.settings.cluster_listen).await?;
+pub async fn run(node: Arc<Node>) -> Result<(), ListenError> {
+    let listener = listen(&node.settings.cluster_listen, "cluster_listen", PATIENCE).await?;
     for link in &node.cluster.links {
         tokio::spawn(keep_link(node.clone(), link.clone()));
     }
--- /dev/null
+++ b/crates/controller/tests/command.rs
@@ -0,0 +1,108 @@
+//! The command as operators call it: subcommands, exit codes, and the samples under `deploy/`.
+
+use copperhaven_core::settings::{Tuning, load};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+fn deploy(file: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(file)
+}
+
+fn call(args: &[&str]) -> (i32, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_copperhaven"));
+    let Output { status, stdout, stderr } =
+        command.args(args).env_remove("COPPERHAVEN_TUNING").output().expect("it runs");
+    let text = |b: Vec<u8>| String::from_utf8_lossy(&b).into_owned();
+    (status.code().unwrap_or(-1), text(stdout), text(stderr))
+}
+
+#[test]
+fn the_samples_are_valid_and_tell_the_defaults() {
+    let settings = load(&deploy("sample-platform.toml"), Some(&deploy("sample-operators.yaml")));
+    let settings = settings.expect("valid");
+    assert_eq!(format!("{:?}", settings.tuning), format!("{:?}", Tuning::default()));
+    // Every key of the operators' settings stands in the sample.
+    let text = std::fs::read_to_string(deploy("sample-operators.yaml")).expect("there");
+    let shown = format!("{:?}", Tuning::default());
+    for field in shown.trim_start_matches("Tuning { ").trim_end_matches(" }").split(", ") {
+        let key = field.split(':').next().unwrap_or_default();
+        assert!(text.lines().any(|l| l.starts_with(&format!("{key}:"))), "{key} is missing");
+    }
+}
+
+#[test]
+fn each_call_says_what_it_does_by_exit_code_and_words() {
+    let platform = deploy("sample-platform.toml").display().to_string();
+    let operators = deploy("sample-operators.yaml").display().to_string();
+    let ok = "settings of controller-0 are valid\n";
+    // (arguments, exit code, in standard output, in standard error)
+    let cases: [(&[&str], i32, &str, &str); 15] = [
+        (&["check", "--config", &platform], 0, ok, ""),
+        (&["check", "--config", &platform, "--tuning", &operators], 0, ok, ""),
+        (&["--config", &platform, "--check"], 0, ok, ""),
+        (&["--config", &platform, "--tuning", &operators, "--check"], 0, ok, ""),
+        (&["check", "--config", "nowhere.toml"], 2, "", "nowhere.toml"),
+        (&["check", "--config", &platform, "--tuning", &platform], 2, "", "sample-platform.toml"),
+        (&["check"], 2, "", "--config"),
+        (&["serve"], 2, "", "--config"),
+        (&[], 2, "", "--config"),
+        (&["--log-format", "xml", "version"], 2, "", "possible values: text, json"),
+        (&["--check", "version"], 2, "", "go behind the subcommand"),
+        (&["--log-format", "json", "version"], 0, "copperhaven ", ""),
+        (&["version"], 0, "release 2", ""),
+        (&["job", "job-1", "--server", "127.0.0.1:1"], 2, "", "is no job id"),
+        (&["job", "wk-1", "--server", "127.0.0.1:1"], 4, "", "no answer from 127.0.0.1:1"),
+    ];
+    for (args, code, out, err) in cases {
+        let (got, stdout, stderr) = call(args);
+        assert_eq!(got, code, "{args:?}: {stdout}{stderr}");
+        assert!(stdout.contains(out) && stderr.contains(err), "{args:?}: {stdout}{stderr}");
+    }
+}
+
+/// Runs a controller with nothing to talk to until it has said something; the first lines.
+fn serve(args: &[&str], port: u16) -> Vec<String> {
+    let dir = std::env::temp_dir().join(format!("copperhaven-{}-{port}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let file = dir.join("platform.toml");
+    let text = std::fs::read_to_string(deploy("sample-platform.toml")).expect("there");
+    let text = text.replace("127.0.0.1:8080", &format!("127.0.0.1:{port}"));
+    std::fs::write(&file, text.replace("127.0.0.1:8090", "127.0.0.1:0")).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_copperhaven"));
+    let file = file.display().to_string();
+    let args = args.iter().map(|a| if *a == "FILE" { file.as_str() } else { a });
+    let mut child = command
+        .args(args)
+        .env("LOG_LEVEL", "warn")
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("it runs");
+    let mut lines = vec![];
+    let err = std::io::BufReader::new(child.stderr.take().expect("piped"));
+    for line in std::io::BufRead::lines(err).map_while(Result::ok).take(1) {
+        lines.push(line);
+    }
+    child.kill().expect("still running");
+    child.wait().expect("ended");
+    std::fs::remove_dir_all(&dir).expect("removed");
+    lines
+}
+
+#[test]
+fn log_lines_are_text_or_json() {
+    // Nobody listens where its state service should be.
+    let port = || {
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        free.local_addr().expect("bound").port()
+    };
+    let word = "the state service is out of reach";
+    for args in [&["--config", "FILE"][..], &["serve", "--config", "FILE"]] {
+        let lines = serve(args, port());
+        assert!(lines[0].trim_start().starts_with(&format!("WARN {word}")), "{lines:?}");
+    }
+    let lines = serve(&["serve", "--config", "FILE", "--log-format", "json"], port());
+    let line: serde_json::Value = serde_json::from_str(&lines[0]).expect("JSON");
+    assert_eq!(line["level"], "WARN");
+    assert!(line["message"].as_str().is_some_and(|m| m.starts_with(word)), "{line}");
+    assert!(line["timestamp"].is_string());
+}
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -337,3 +337,155 @@
         Some(key.clone())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::records::{FinalRecord, Record};
+
+    /// Owners whose records are as long as they are told; a job's links go first.
+    #[derive(Default)]
+    struct Owners {
+        long: BTreeSet<Key>,
+        late: BTreeSet<Key>,
+        none: BTreeSet<Key>,
+        first: BTreeMap<Key, Key>,
+    }
+
+    impl Source for Owners {
+        fn render(&self, key: &Key, ledger: &Ledger) -> Vec<Change> {
+            if self.none.contains(key) {
+                return vec![];
+            }
+            let path = format!("{key:?}").replace(' ', "");
+            let room = if self.long.contains(key) { ledger.value_limit } else { 1 };
+            let lot = "x".repeat(room);
+            let job = crate::for_tests::record("wk-1").job;
+            let job = copperhaven_wire::jobs::JobBody { lot, ..job };
+            let record = crate::records::JobRecord { job, ..crate::for_tests::record("wk-1") };
+            let short = Record::Final(FinalRecord { done: true, tasks: 1 });
+            let v = if room > 1 { Record::Job(Box::new(record)) } else { short };
+            vec![Change::Put { put: path, v, charter: None }]
+        }
+        fn can_wait(&self, key: &Key, _: &Ledger) -> bool {
+            self.late.contains(key)
+        }
+        fn first(&self, key: &Key, _: &Ledger) -> Vec<Key> {
+            self.first.get(key).cloned().into_iter().collect()
+        }
+        fn unless(&self, key: &Key, _: &Ledger) -> Option<String> {
+            matches!(key, Key::Job(JobId(9))).then(|| "f/9".into())
+        }
+    }
+
+    fn ledger() -> Ledger {
+        Ledger::new(Cond { path: "c/leader".into(), stamp: 50 }, 4096)
+    }
+
+    fn job(n: u32) -> Key {
+        Key::Job(JobId(n))
+    }
+
+    fn machine(n: u32) -> Key {
+        Key::Machine(MachineId(n))
+    }
+
+    #[test]
+    fn users_go_first_then_the_longest_waiting_and_a_quarter_is_ranges() {
+        let mut l = ledger();
+        let done = |n| Key::Done(JobId(n), 0);
+        let keys =
+            [Key::Drop("x".into()), done(1), done(2), machine(1), job(2), machine(2), job(1)];
+        for key in keys.iter().chain([&machine(1)]) {
+            l.touch(key.clone());
+        }
+        let late = Owners { late: BTreeSet::from([job(2)]), ..Owners::default() };
+        // (owners, changes, left to users, keys)
+        let cases = [
+            (&Owners::default(), 4, 0, vec![job(2), job(1), done(1), machine(1)]),
+            (&Owners::default(), 4, 2, vec![job(2), job(1)]),
+            (&late, 3, 0, vec![job(1), done(1), machine(1)]),
+        ];
+        for (owners, ops, reserve, keys) in cases {
+            let batch = l.draft(owners, ops, reserve).batch.expect("something");
+            assert_eq!(batch.keys, keys);
+            assert_eq!(batch.when[0], l.leader);
+            assert_eq!(batch.when.len(), 1 + keys.len());
+        }
+        l.alone = true;
+        assert_eq!(l.draft(&Owners::default(), 4, 0).batch.expect("one").keys, [job(2)]);
+    }
+
+    #[test]
+    fn a_key_is_safe_from_the_version_that_was_applied_and_dirty_again_beyond_it() {
+        let mut l = ledger();
+        let one = l.touch(job(1));
+        let batch = l.draft(&Owners::default(), 9, 0).batch.expect("a batch");
+        let two = l.touch(job(1));
+        l.applied(&batch, 77);
+        assert!(l.is_saved(&job(1), one) && !l.is_saved(&job(1), two) && l.unwritten() == 1);
+        // The next is conditional on what was applied.
+        let next = l.draft(&Owners::default(), 9, 0).batch.expect("again");
+        assert_eq!(next.when[1].stamp, 77);
+        l.applied(&next, 78);
+        assert!(l.is_saved(&job(1), two) && l.unwritten() == 0 && !l.users_wait());
+        // What became of its owner is none of its business, until it is told.
+        l.forget(&job(1));
+        assert!(!l.is_known(&job(1)));
+    }
+
+    #[test]
+    fn what_has_to_be_there_first_and_what_must_not_be_there() {
+        let mut l = ledger();
+        let links = Key::Links(JobId(9), 0);
+        let owners =
+            Owners { first: BTreeMap::from([(job(9), links.clone())]), ..Owners::default() };
+        l.touch(job(9));
+        assert!(l.draft(&owners, 9, 0).batch.is_none(), "its links were never recorded");
+        l.touch(links.clone());
+        // The job has waited longer, but goes after them.
+        let batch = l.draft(&owners, 9, 0).batch.expect("the links");
+        assert_eq!(batch.keys, [links]);
+        l.applied(&batch, 77);
+        let batch = l.draft(&owners, 9, 0).batch.expect("the job");
+        assert_eq!(batch.keys, [job(9)]);
+        assert!(batch.when.contains(&Cond { path: "f/9".into(), stamp: 0 }));
+    }
+
+    #[test]
+    fn one_that_is_too_long_or_gone_keeps_no_other_from_being_written() {
+        let mut l = ledger();
+        let owners = Owners {
+            long: BTreeSet::from([machine(1)]),
+            none: BTreeSet::from([machine(2)]),
+            ..Owners::default()
+        };
+        (1..=3).for_each(|n| {
+            l.touch(machine(n));
+        });
+        let Draft { batch, long } = l.draft(&owners, 9, 0);
+        assert_eq!((batch.expect("the third").keys, long), (vec![machine(3)], vec![machine(1)]));
+        l.hold_back(&machine(1));
+        assert!(l.is_held_back(&machine(1)) && l.held_back() == 1 && l.unwritten() == 2);
+        // Once it has shrunk it is like any other.
+        let batch = l.draft(&Owners::default(), 9, 0).batch.expect("all");
+        assert!(batch.keys.contains(&machine(1)) && l.held_back() == 0);
+    }
+
+    #[test]
+    fn a_refused_transaction_is_tried_one_by_one_and_lowers_the_limit_if_it_was_long() {
+        let owners = Owners { long: BTreeSet::from([machine(1)]), ..Owners::default() };
+        let mut l = ledger();
+        l.touch(machine(1));
+        l.touch(machine(2));
+        l.value_limit = 1 << 14;
+        let long = owners.render(&machine(1), &ledger());
+        let both = l.draft(&Owners::default(), 9, 0).batch.expect("both");
+        assert_eq!(l.malformed(&both), None);
+        assert!(l.alone && l.unwritten() == 2);
+        let one = Batch { keys: vec![machine(1)], apply: long, ..both };
+        let bytes = one.apply[0].bytes();
+        assert_eq!(l.malformed(&one), Some(machine(1)));
+        assert_eq!((l.value_limit, l.unwritten(), l.commits.too_large), (bytes - 1, 1, 2));
+    }
+}
--- a/crates/core/src/takeover/tests.rs
+++ b/crates/core/src/takeover/tests.rs
@@ -42,12 +42,8 @@
 }
 
 fn started(orders: &[Order]) -> Vec<&str> {
-    let run = |o: &'_ Order| matches!(o, Order::Run { .. });
-    let name = |o| match o {
-        &Order::Run { ref parcel, .. } | &Order::Halt { ref parcel, .. } => parcel.as_str(),
-        &Order::Forget { ref parcel, .. } => parcel.as_str(),
-    };
-    orders.iter().filter(|o| run(o)).map(name).collect()
+    let runs = orders.iter().filter(|o| matches!(o, Order::Run { .. }));
+    runs.map(|o| o.parcel()).collect()
 }
 
 fn halted(orders: &[Order], parcel: &str) -> bool {
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -56,6 +56,17 @@
     },
 }
 
+impl Order {
+    /// The task that it is about, as `JOB/TASK`.
+    pub fn parcel(&self) -> &str {
+        match self {
+            Order::Run { parcel, .. }
+            | Order::Halt { parcel, .. }
+            | Order::Forget { parcel, .. } => parcel,
+        }
+    }
+}
+
 #[derive(Debug, Serialize)]
 pub struct Orders {
     pub warrant: u64,
