Sets of a job's tasks are compressed bitmaps

Need: an open job's tasks that wait or are done were kept in trees, 6.6 bytes a task: 660 KB for an array of 100,000, of which GROWTH wants many; and taking such a job in built the tree task by task.

--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -130,7 +130,7 @@
             if failing && !job.onto.is_empty() {
                 continue;
             }
-            let waiting = if failing { 1 } else { job.waiting.len() as u32 };
+            let waiting = if failing { 1 } else { job.waiting.len() };
             let mut n = self.wanted(spec, waiting, r.guaranteed).min(quota);
             if spec.shape == Shape::Gang && n < waiting {
                 continue;
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -31,7 +31,7 @@
                 return Wait::Absence;
             }
         }
-        let need = job.waiting.len() as u32;
+        let need = job.waiting.len();
         if !self.limit_within_reach(spec, need) {
             return Wait::TeamLimit;
         }
@@ -64,7 +64,7 @@
             job.attempt = attempt;
         }
         for (i, n) in plan {
-            let tasks: Vec<u32> = self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+            let tasks: Vec<u32> = self.jobs[&id].waiting.first(n);
             let mid = slots[i].mid;
             for task in tasks {
                 self.assign(mid, id, task, attempt, now);
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -23,7 +23,7 @@
     /// Keeps so much of the team's limit for this job that those served after it don't take what
     /// gets free.
     pub(crate) fn hold_limit(&mut self, id: JobId, spec: &Spec) {
-        let n = self.jobs.get(&id).map_or(0.0, |j| j.waiting.len() as f64);
+        let n = self.jobs.get(&id).map_or(0.0, |j| f64::from(j.waiting.len()));
         let n = if spec.shape == Shape::Array { n.min(1.0) } else { n };
         self.teams.hold(spec, n);
     }
@@ -55,7 +55,7 @@
     pub(crate) fn make_team_room(&mut self, id: JobId, spec: &Spec, now: u64) -> bool {
         let Some(job) = self.jobs.get(&id) else { return false };
         let team = &self.settings.deployment.teams[spec.team.ix()];
-        let n = if spec.shape == Shape::Array { 1.0 } else { job.waiting.len() as f64 };
+        let n = if spec.shape == Shape::Array { 1.0 } else { f64::from(job.waiting.len()) };
         let (used, held) = (self.teams.usage(spec.team), self.teams.held(spec.team));
         let mut cpus = used.cpus + held.cpus + spec.cpus * n - team.cpus_max;
         let mut cards = used.cards + held.cards + spec.cards * n - team.gpus_max;
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -94,7 +94,7 @@
                 continue;
             }
             let spec = job.spec.clone();
-            let need = job.waiting.len() as u32;
+            let need = job.waiting.len();
             let plain = job.failed_on.is_empty()
                 && !spec.one_zone
                 && !spec.spread
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -30,7 +30,7 @@
             return false;
         }
         let Some(job) = self.jobs.get(&r.id) else { return false };
-        let mut need = job.waiting.len() as u32;
+        let mut need = job.waiting.len();
         if spec.shape != Shape::Gang {
             need = need.min(self.team_room(spec)).min(32);
         }
--- a/crates/core/src/placement/singles.rs
+++ b/crates/core/src/placement/singles.rs
@@ -23,7 +23,7 @@
         let mut placed = false;
         for i in order {
             loop {
-                let left = self.jobs.get(&id).map_or(0, |j| j.waiting.len() as u32);
+                let left = self.jobs.get(&id).map_or(0, |j| j.waiting.len());
                 if left == 0 {
                     return Wait::Image;
                 }
@@ -42,8 +42,7 @@
                 if n == 0 {
                     break;
                 }
-                let tasks: Vec<u32> =
-                    self.jobs[&id].waiting.iter().take(n as usize).copied().collect();
+                let tasks: Vec<u32> = self.jobs[&id].waiting.first(n);
                 // One attempt for all that start together keeps the machine's record short.
                 let attempt = self.new_attempt();
                 for task in tasks {
--- a/crates/core/src/questions.rs
+++ b/crates/core/src/questions.rs
@@ -37,7 +37,7 @@
                 .then(|| self.why_waiting(id, job).text().to_string())
                 .filter(|w| !w.is_empty() && job.open());
             let mut shown = Shown {
-                done: job.done.len() as u64,
+                done: u64::from(job.done.len()),
                 running: u64::from(job.running),
                 why,
                 ..Shown::new(uid, status)
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -58,7 +58,7 @@
                         }
                         if job.final_ver.is_some_and(|v| v <= batch.ver) {
                             job.unsaved.clear();
-                            let tasks = job.done.len() as u32;
+                            let tasks = job.done.len();
                             let record = FinalRecord { done: !job.cancelled(), tasks };
                             let uid = job.spec.uid.clone();
                             self.finals.remember(uid, record);
--- a/crates/core/src/safety_tests.rs
+++ b/crates/core/src/safety_tests.rs
@@ -44,7 +44,7 @@
     let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
     c.on_report(&report(1, 1, TERM, &[]), T0);
     c.place(T0);
-    assert!(c.jobs[&id].waiting.contains(&0), "an unrecorded job is not placed");
+    assert!(c.jobs[&id].waiting.contains(0), "an unrecorded job is not placed");
     assert!(c.show("wk-1").is_none(), "nor is it called accepted");
     commit(&mut c);
     c.place(T0);
@@ -113,7 +113,7 @@
         // Clocks may drift: the bare lease is not enough.
         assert_eq!(c.expire(answered + after).contains(&mid), over, "{after}");
     }
-    assert!(!may_be_there(&c, mid, id) && c.jobs[&id].waiting.contains(&0));
+    assert!(!may_be_there(&c, mid, id) && c.jobs[&id].waiting.contains(0));
 }
 
 #[test]
@@ -407,14 +407,14 @@
     c.returned(&["n-1".to_string()]);
     let late = report(1, 3, TERM, &[("wk-1/0", a, "running")]);
     assert_eq!(c.on_report(&late, T0 + 61_000), Taken::Stale);
-    assert!(!c.machines.contains_key(&mid) && c.jobs[&id].waiting.contains(&0));
+    assert!(!c.machines.contains_key(&mid) && c.jobs[&id].waiting.contains(0));
     // The next leader doesn't know that the machine is gone, but no record lists the task.
     let mut c = cell();
     let id = add_job(&mut c, "wk-1", |b| b.parcels = 1);
     commit(&mut c);
     let late = report(1, 3, TERM - 1, &[("wk-1/0", a, "running")]);
     assert!(matches!(exchange(&mut c, &late, T0)[..], [Order::Halt { .. }]));
-    assert!(c.jobs[&id].waiting.contains(&0));
+    assert!(c.jobs[&id].waiting.contains(0));
 }
 
 #[test]
--- a/crates/core/src/state/book.rs
+++ b/crates/core/src/state/book.rs
@@ -87,8 +87,7 @@
                 let Some(job) = self.jobs.get(id) else { return vec![] };
                 let uid = &job.spec.uid;
                 if job.final_ver.is_some() {
-                    let record =
-                        FinalRecord { done: !job.cancelled(), tasks: job.done.len() as u32 };
+                    let record = FinalRecord { done: !job.cancelled(), tasks: job.done.len() };
                     return vec![
                         put(format!("f/{uid}"), Record::Final(record)),
                         Change::Delete { delete: format!("j/{uid}") },
@@ -107,7 +106,7 @@
                 let Some(job) = self.jobs.get(id) else { return vec![] };
                 let from = chunk * CHUNK;
                 let ranges = |from: u32, n: u32| {
-                    let r = to_ranges(job.done.range(from..from + n).copied());
+                    let r = to_ranges(job.done.within(from, n));
                     Record::Done(DoneRecord { r })
                 };
                 let whole = format!("d/{}/{chunk}", job.spec.uid);
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -183,7 +183,7 @@
 
     pub fn done_saved(&self, id: JobId, task: u32) -> bool {
         let Some(job) = self.jobs.get(&id) else { return true };
-        job.done.contains(&task)
+        job.done.contains(task)
             && (job
                 .unsaved
                 .get(&task)
@@ -361,7 +361,7 @@
         m.add(&job.spec);
         *job.onto.entry(task).or_insert(0) += 1;
         job.in_zone[m.zone.ix()] += 1;
-        job.waiting.remove(&task);
+        job.waiting.remove(task);
         self.teams.add(&job.spec);
     }
 
@@ -386,7 +386,7 @@
                 0
             }
         };
-        if left == 0 && job.open() && !job.done.contains(&task) {
+        if left == 0 && job.open() && !job.done.contains(task) {
             job.waiting.insert(task);
             let pool = zone.ix() * self.flavors.len() + self.machines[&mid].kind.ix();
             if let Some(r) = job.routed.get_mut(pool) {
@@ -434,8 +434,8 @@
             assert_eq!(on, job.in_zone.iter().sum::<u32>());
             let waits = job.open() && !job.awaits.is_empty();
             assert!(!waits || (job.onto.is_empty() && job.routed.iter().all(|r| *r == 0)));
-            for task in &job.waiting {
-                assert!(!job.done.contains(task) && !job.onto.contains_key(task));
+            for task in job.waiting.iter() {
+                assert!(!job.done.contains(task) && !job.onto.contains_key(&task));
             }
         }
     }
--- a/crates/core/src/state/job.rs
+++ b/crates/core/src/state/job.rs
@@ -2,6 +2,7 @@
 
 use crate::state::names::*;
 use crate::state::table::Row;
+use crate::state::tasks::TaskSet;
 use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -109,11 +110,11 @@
     pub cancel_ver: Option<u64>,
     /// Version of the record that makes it final.
     pub final_ver: Option<u64>,
-    pub done: BTreeSet<u32>,
+    pub done: TaskSet,
     /// Finished tasks whose record is not safe yet, with the version that will make them so.
     pub unsaved: HashMap<u32, u64>,
     /// Tasks that are not done and on no machine.
-    pub waiting: BTreeSet<u32>,
+    pub waiting: TaskSet,
     /// On how many machines a task may be.
     pub onto: BTreeMap<u32, u32>,
     /// Machines (by zone) that tasks of this job may be on.
@@ -149,7 +150,7 @@
 
 impl Job {
     pub fn new(spec: Arc<Spec>, body: Arc<JobBody>, at: u64, zones: usize, pools: usize) -> Job {
-        let waiting = (0..spec.tasks).collect();
+        let waiting = TaskSet::all(spec.tasks);
         Job {
             spec,
             body,
@@ -167,7 +168,7 @@
             start_ver: 0,
             cancel_ver: None,
             final_ver: None,
-            done: BTreeSet::new(),
+            done: TaskSet::default(),
             unsaved: HashMap::new(),
             waiting,
             onto: BTreeMap::new(),
@@ -196,7 +197,7 @@
     }
 
     pub fn all_done(&self) -> bool {
-        self.done.len() as u32 == self.spec.tasks
+        self.done.len() == self.spec.tasks
     }
 
     /// Open: neither cancelled nor done.
@@ -211,7 +212,7 @@
     }
 
     pub fn left(&self) -> u32 {
-        self.spec.tasks - self.done.len() as u32
+        self.spec.tasks - self.done.len()
     }
 }
 
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -17,4 +17,5 @@
 pub mod names;
 pub mod rates;
 pub mod table;
+pub mod tasks;
 pub mod teams;
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -200,7 +200,7 @@
             for task in from_ranges(&record.r) {
                 if task >= from && task - from < CHUNK && task < job.spec.tasks {
                     job.done.insert(task);
-                    job.waiting.remove(&task);
+                    job.waiting.remove(task);
                 }
             }
         }
@@ -238,7 +238,7 @@
             };
             for task in from_ranges(&on.r) {
                 let job = &cell.jobs[&id];
-                if task < job.spec.tasks && !job.done.contains(&task) {
+                if task < job.spec.tasks && !job.done.contains(task) {
                     let mut e = Entry::new(on.t, 0, now);
                     e.inherited = true;
                     cell.attach(mid, id, task, e);
--- a/crates/core/src/workers/ends.rs
+++ b/crates/core/src/workers/ends.rs
@@ -33,7 +33,7 @@
         if job.cancelled() || task >= job.spec.tasks || !job.done.insert(task) {
             return;
         }
-        job.waiting.remove(&task);
+        job.waiting.remove(task);
         let proves = !job.proven && job.failures > 0;
         // A newer attempt of an array's task, if one is on its way, has nothing left to do.
         let again = job.spec.shape == Shape::Array && job.onto.contains_key(&task);
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -216,7 +216,7 @@
     /// and goes on, if nothing speaks against it.
     fn adopt(&mut self, mid: MachineId, id: JobId, task: u32, attempt: u64, now: u64) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let free = job.open() && job.awaits.is_empty() && job.waiting.contains(&task);
+        let free = job.open() && job.awaits.is_empty() && job.waiting.contains(task);
         let mates = job.spec.shape != Shape::Gang || job.onto.is_empty() || job.attempt == attempt;
         if !free || !mates {
             return;
