Takeovers on records that nobody would write; times far off are taken for ten years

Need: bad input. A deadline of 1e300 s, or a record with such a time, made sums of times wrap around: the job was urgent for ever, or late for ever. Found by takeovers on seeded nonsense.

--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -113,7 +113,8 @@
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let spec = &job.spec;
             let early = !job.awaits.is_empty();
-            if job.waiting.is_empty() || now < job.retry_at {
+            // What may be on a machine already needs no other.
+            if job.waiting.is_empty() || now < job.retry_at || self.may_be_hidden(job) {
                 continue;
             }
             let team = &self.settings.deployment.teams[spec.team.ix()];
--- a/crates/core/src/pipelines/awaits.rs
+++ b/crates/core/src/pipelines/awaits.rs
@@ -1,7 +1,7 @@
 //! Taking in a job that waits for others.
 
 use crate::state::cell::Cell;
-use crate::state::job::{Job, Spec, Wait};
+use crate::state::job::{Job, Spec, Wait, span_ms};
 use crate::state::ledger::Key;
 use crate::state::names::*;
 use copperhaven_wire::jobs::{JobBody, Shape};
@@ -152,7 +152,7 @@
 
     /// Makes a job wait for others: it is in no queue, and uses nothing.
     pub fn park(&mut self, id: JobId, on: Vec<Arc<str>>, now: u64) {
-        let wait = (self.expected_wait(&on, now) * 1000.0) as i64;
+        let wait = span_ms(self.expected_wait(&on, now));
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let turn = (job.turn_at, id);
         job.eta += (now as i64 - job.born) + wait;
--- a/crates/core/src/pipelines/follow.rs
+++ b/crates/core/src/pipelines/follow.rs
@@ -1,7 +1,7 @@
 //! Carrying on what is recorded: who may start, who is cancelled with whom, priority and urgency.
 
 use crate::state::cell::Cell;
-use crate::state::job::Wait;
+use crate::state::job::{Wait, span_ms};
 use crate::state::ledger::Key;
 use crate::state::names::*;
 use copperhaven_wire::jobs::Precedence;
@@ -58,7 +58,7 @@
             let Some(id) = self.jobs.id(&uid) else { continue };
             let Some(job) = self.jobs.get(&id).filter(|j| j.open()) else { continue };
             let mut precedence = job.body.precedence;
-            let own = job.spec.deadline_s.map(|s| job.born + (s * 1000.0) as i64);
+            let own = job.spec.deadline_s.map(|s| job.born + span_ms(s));
             let mut due = own;
             let after = self.links.needed.get(&uid).map_or(&[][..], |a| a);
             for next in after.iter().filter_map(|n| Some((*n, self.jobs.get(n)?))) {
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -6,7 +6,7 @@
 use crate::state::aside::Aside;
 use crate::state::finals::Finals;
 use crate::state::fleet::{Flavor, Fleet};
-use crate::state::job::{CHUNK, Job, SPLIT, Spec};
+use crate::state::job::{CHUNK, Job, SPLIT, Spec, span_ms};
 use crate::state::ledger::{Key, Ledger};
 use crate::state::links::Links;
 use crate::state::machine::{Direct, Entry, Machine, Seen};
@@ -169,9 +169,9 @@
         let mut job =
             Job::new(Arc::new(spec), Arc::new(body), at, self.names.zones.len(), self.pools());
         (job.born, job.since) = (born, born);
-        job.due = job.spec.deadline_s.map(|s| born + (s * 1000.0) as i64);
+        job.due = job.spec.deadline_s.map(|s| born + span_ms(s));
         let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
-        job.eta = born + (run * 1000.0) as i64;
+        job.eta = born + span_ms(run);
         self.queue.insert((at, id));
         self.jobs.insert(id, job);
         id
@@ -204,7 +204,7 @@
     pub(crate) fn run_ms(&self, id: JobId) -> i64 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
         let spec = &job.spec;
-        (self.rates.run_s(usize::MAX, spec.class, spec.estimate_s) * 1000.0) as i64
+        span_ms(self.rates.run_s(usize::MAX, spec.class, spec.estimate_s))
     }
 
     /// Does a deadline further on press this job, which waited for others or is waited for?
--- a/crates/core/src/state/job.rs
+++ b/crates/core/src/state/job.rs
@@ -7,6 +7,15 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+/// Ten years in milliseconds: times and spans further away are taken for this far, so that sums of them
+/// stay numbers, whatever a submission or a record says.
+pub const FAR_MS: i64 = 10 * 365 * 24 * 3600 * 1000;
+
+/// A span of seconds in milliseconds.
+pub fn span_ms(seconds: f64) -> i64 {
+    ((seconds * 1000.0) as i64).clamp(0, FAR_MS)
+}
+
 /// Room for rounding when amounts are added up.
 pub const EPS: f64 = 1e-6;
 
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -4,7 +4,7 @@
 use crate::records::*;
 use crate::state::aside::MayHold;
 use crate::state::cell::Cell;
-use crate::state::job::{CHUNK, Wait};
+use crate::state::job::{CHUNK, FAR_MS, Wait};
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Entry};
 use copperhaven_wire::jobs::check;
@@ -79,6 +79,11 @@
     }
 }
 
+/// How long ago a time of day was, in milliseconds; ten years at most.
+fn age_ms(at: u64, wall_ms: u64) -> i64 {
+    i64::try_from(wall_ms.saturating_sub(at)).map_or(FAR_MS, |age| age.min(FAR_MS))
+}
+
 /// The parts of long lists of what jobs wait for, by path.
 fn read_links(cell: &mut Cell, links: Rows<LinksRecord>) -> BTreeMap<String, Vec<String>> {
     let mut out = BTreeMap::new();
@@ -128,10 +133,10 @@
                 continue;
             }
         };
-        let age = wall_ms.saturating_sub(record.at);
-        let born = now as i64 - i64::try_from(age).unwrap_or(0);
-        let id = cell.insert_job(spec, record.job, record.at, born);
-        let at = record.at;
+        // A time that lies far off is taken for one that can be reckoned with.
+        let at = record.at.min(wall_ms + FAR_MS as u64);
+        let born = now as i64 - age_ms(at, wall_ms);
+        let id = cell.insert_job(spec, record.job, at, born);
         if let Some(job) = cell.jobs.get_mut(&id) {
             job.wait = Wait::Nothing;
             if record.cancelled {
@@ -140,8 +145,8 @@
                 cell.queue.remove(&(at, id));
             } else if let Some(since) = record.since {
                 // It has waited for others.
-                let age = wall_ms.saturating_sub(since);
-                job.since = now as i64 - i64::try_from(age).unwrap_or(0);
+                let since = since.min(wall_ms + FAR_MS as u64);
+                job.since = now as i64 - age_ms(since, wall_ms);
                 job.turn_at = since;
                 cell.queue.remove(&(at, id));
                 cell.queue.insert((since, id));
@@ -219,8 +224,10 @@
         else {
             let (berth, yard) = (&r.berth, &r.yard);
             tracing::error!("the record {path} can't be used: type `{berth}`, zone `{yard}`");
-            let jobs = r.on.into_iter().map(|on| on.j).collect();
-            cell.aside.set_machine(&name, MayHold::Jobs(jobs));
+            if !r.on.is_empty() {
+                let jobs = r.on.into_iter().map(|on| on.j).collect();
+                cell.aside.set_machine(&name, MayHold::Jobs(jobs));
+            }
             continue;
         };
         let mid = cell.add_machine(&name, &r.addr, kind, zone, r.spot, now);
--- /dev/null
+++ b/crates/core/tests/takeover_input.rs
@@ -0,0 +1,263 @@
+//! Takeovers on records that nobody would write: whatever stands at the state service, a new leader does not
+//! panic, its lists agree, and what it writes fits. Seeded; a failing seed is printed.
+
+use copperhaven_core::records::*;
+use copperhaven_core::settings::Settings;
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::fleet::Flavor;
+use copperhaven_core::state::names::Names;
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_wire::cloud::WireFlavor;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::workers::{Parcel, Report};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+
+const SETTINGS: &str = r#"
+member = "a"
+zone = "n"
+front = "127.0.0.1:1"
+cluster_listen = "127.0.0.1:2"
+[endpoints]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[deployment]
+zones = ["n", "s"]
+teams = [{ name = "red", cpus = 8.0, cpus_max = 12.0 }, { name = "blue" }]
+[deployment.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 6.0
+cancel_s = 35.0
+[deployment.state]
+rps = 250.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 16
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 5.0
+[deployment.limits]
+max_connections = 100
+"#;
+
+const NOW: u64 = 100_000;
+const WALL: u64 = 1_800_000_000_000;
+
+fn pick<T: Clone>(rng: &mut StdRng, from: &[T]) -> T {
+    from.choose(rng).cloned().expect("not empty")
+}
+
+fn amount(rng: &mut StdRng) -> f64 {
+    let odd = [0.0, 1.0, 2.5, -1.0, 1e300, f64::NAN, f64::INFINITY, f64::MIN_POSITIVE, 1e-9];
+    if rng.random_bool(0.8) { rng.random_range(1..8) as f64 * 0.5 } else { pick(rng, &odd) }
+}
+
+fn number(rng: &mut StdRng) -> u64 {
+    let odd = [0, 1, u64::MAX, u64::MAX / 2, i64::MAX as u64 + 1, u32::MAX as u64, WALL * 2];
+    if rng.random_bool(0.7) { WALL - rng.random_range(0..100_000) } else { pick(rng, &odd) }
+}
+
+fn uid(rng: &mut StdRng) -> String {
+    let odd = ["", "wk-", "wk-1/2", "job", "wk-99999999999999999999", "\u{1}", "wk-٣"];
+    if rng.random_bool(0.95) {
+        format!("wk-{}", rng.random_range(1..12))
+    } else {
+        pick(rng, &odd).into()
+    }
+}
+
+fn name(rng: &mut StdRng, sound: &[&str]) -> String {
+    let odd = ["", "?", "n/s", "\u{1}\u{1}", "unheard of"];
+    if rng.random_bool(0.9) { pick(rng, sound).into() } else { pick(rng, &odd).into() }
+}
+
+fn ranges(rng: &mut StdRng) -> Vec<u32> {
+    let odd = [0, 1, 7, 1023, 1024, u32::MAX, u32::MAX - 1, 99_999, 100_000];
+    let n = rng.random_range(0..6);
+    let one = |rng: &mut StdRng| match rng.random_bool(0.7) {
+        true => rng.random_range(0..30),
+        false => pick(rng, &odd),
+    };
+    (0..n).map(|_| one(rng)).collect()
+}
+
+fn body(rng: &mut StdRng, uid: String) -> JobBody {
+    JobBody {
+        uid,
+        lot: name(rng, &["c", "d"]),
+        owner: name(rng, &["red", "blue"]),
+        shape: pick(rng, &[Shape::Array, Shape::Gang, Shape::Service]),
+        precedence: pick(rng, &[Precedence::Production, Precedence::Low]),
+        parcels: if rng.random_bool(0.9) { rng.random_range(1..40) } else { number(rng) },
+        cpus: amount(rng),
+        cards: 0.0,
+        mem_gb: amount(rng),
+        cargo: name(rng, &["i"]),
+        pull_gb: amount(rng),
+        berths: rng.random_bool(0.2).then(|| vec![name(rng, &["m8", "m9"])]),
+        yard: rng.random_bool(0.2).then(|| name(rng, &["n", "s"])),
+        together: rng.random_bool(0.2),
+        spread: rng.random_bool(0.2),
+        loaners: rng.random_bool(0.5),
+        expected_s: amount(rng),
+        stamp_every_s: amount(rng),
+        stamp_s: amount(rng),
+        due_s: rng.random_bool(0.5).then(|| amount(rng)),
+        awaits: rng.random_bool(0.05).then(|| vec![self::uid(rng)]),
+    }
+}
+
+fn records(rng: &mut StdRng) -> Records {
+    let mut read = Records::default();
+    for _ in 0..rng.random_range(0..15) {
+        let id = uid(rng);
+        let own = if rng.random_bool(0.95) { id.clone() } else { uid(rng) };
+        let on = (0..rng.random_range(0..3)).map(|_| uid(rng)).collect();
+        let waits = Waits { on, berths: None, parts: pick(rng, &[0, 0, 0, 1, 2, 5]) };
+        let record = JobRecord {
+            job: body(rng, own),
+            at: number(rng),
+            cancelled: rng.random_bool(0.2),
+            waits: rng.random_bool(0.3).then_some(waits),
+            since: rng.random_bool(0.2).then(|| number(rng)),
+        };
+        read.jobs.push((format!("j/{id}"), record, 1));
+        if rng.random_bool(0.5) {
+            let chunk = pick(rng, &["0", "0/1", "1", "4194303", "4294967295", "x", ""]);
+            read.done.push((format!("d/{id}/{chunk}"), DoneRecord { r: ranges(rng) }, 2));
+        }
+        if rng.random_bool(0.3) {
+            let on = (0..rng.random_range(0..3)).map(|_| uid(rng)).collect();
+            let part = rng.random_range(0..3);
+            read.links.push((format!("a/{id}/{part}"), LinksRecord { on }, 3));
+        }
+    }
+    for n in 0..rng.random_range(0..6) {
+        let on = (0..rng.random_range(0..5))
+            .map(|_| OnRecord { j: uid(rng), t: number(rng), r: ranges(rng) })
+            .collect();
+        let record = MachineRecord {
+            addr: name(rng, &["127.0.0.1:9"]),
+            berth: name(rng, &["m8"]),
+            yard: name(rng, &["n", "s"]),
+            spot: rng.random_bool(0.3),
+            shift: number(rng),
+            on,
+        };
+        read.machines.push((format!("m/n-{n}"), record, 4));
+    }
+    for n in 0..rng.random_range(0..3) {
+        let (berth, yard) = (name(rng, &["m8"]), name(rng, &["n", "s"]));
+        let record =
+            RentalRecord { berth, yard, spot: false, number: pick(rng, &[0, 3, u32::MAX]) };
+        read.rentals.push((format!("r/r-1-{n}"), record, 5));
+    }
+    for _ in 0..rng.random_range(0..4) {
+        let id = uid(rng);
+        let key = pick(rng, &["j", "d", "m", "a", "r", "f", "x", ""]);
+        let path = if key == "m" { "m/n-3".to_string() } else { format!("{key}/{id}/0") };
+        // A path is on record once.
+        read.machines.retain(|(p, ..)| *p != path);
+        read.bad.push((path, 6));
+    }
+    read.jobs.sort_by(|a, b| a.0.cmp(&b.0));
+    read.jobs.dedup_by(|a, b| a.0 == b.0);
+    read
+}
+
+fn report(rng: &mut StdRng, term: u64, tally: u64) -> Report {
+    let parcels = (0..rng.random_range(0..5))
+        .map(|_| Parcel {
+            parcel: format!("{}/{}", uid(rng), pick(rng, &["0", "3", "4294967295", "-1", "x", ""])),
+            attempt: number(rng),
+            status: pick(rng, &["pulling", "waiting", "running", "saving", "ended", "?"]).into(),
+            cause: pick(rng, &[None, Some("done"), Some("error"), Some("alone"), Some("?")])
+                .map(Into::into),
+            kept: false,
+        })
+        .collect();
+    Report {
+        hearth: format!("n-{}", rng.random_range(0..7)),
+        addr: "127.0.0.1:9".into(),
+        berth: name(rng, &["m8"]),
+        yard: name(rng, &["n", "s"]),
+        loaners: false,
+        shift: pick(rng, &[1, 1, 1, u64::MAX]),
+        tally,
+        warrant: pick(rng, &[term, term, term - 1]),
+        recall_s: pick(rng, &[None, None, Some(f64::NAN), Some(-1.0), Some(1e300), Some(30.0)]),
+        parcels,
+    }
+}
+
+fn play(seed: u64) -> (usize, usize) {
+    let rng = &mut StdRng::seed_from_u64(seed);
+    let settings: Arc<Settings> = Arc::new(toml::from_str(SETTINGS).expect("settings"));
+    let mut names = Names::new(&settings);
+    let kind = WireFlavor {
+        label: "m8".into(),
+        cpus: 8.0,
+        cards: 0.0,
+        mem_gb: 32.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 1.0,
+        hourly: 1.0,
+        spot_price: 0.3,
+        startup_s: 20.0,
+        yards: vec!["n".into(), "s".into()],
+    };
+    let flavors = vec![Flavor::from_wire(&kind, &mut names)];
+    let leader = Cond { path: LEADER.into(), stamp: 9 };
+    let mut c = Cell::new(settings, 7, leader, NOW, names, flavors);
+    let read = records(rng);
+    let all = read.jobs.len();
+    rebuild(&mut c, read, NOW, WALL);
+    c.fleet.provided = Some(0);
+    for step in 1..12u64 {
+        let now = NOW + step * rng.random_range(1..9_000);
+        let r = report(rng, 7, step);
+        if let copperhaven_core::workers::reports::Taken::Answer(mid) = c.on_report(&r, now) {
+            c.place(now);
+            let _ = c.orders(mid, (r.shift, r.tally), now, true);
+        }
+        c.expire(now);
+        c.follow(now);
+        c.spot_slow(now);
+        c.judge(now);
+        c.plan_returns(now);
+        c.plan_rentals(now);
+        if let Some(batch) = c.batch(16) {
+            assert!(batch.apply.len() <= 16);
+            for change in &batch.apply {
+                assert!(change.bytes() <= c.ledger.value_limit, "{change:?}");
+            }
+            c.applied(&batch, 100 + step);
+        }
+        for n in 0..14 {
+            let _ = c.show(&format!("wk-{n}"));
+        }
+        if rng.random_bool(0.2)
+            && let Some(id) = c.jobs.id(&uid(rng))
+        {
+            c.cancel(id, now);
+        }
+    }
+    (all, c.jobs.len())
+}
+
+#[test]
+fn whatever_stands_on_record_a_takeover_goes_on() {
+    let (mut all, mut taken) = (0, 0);
+    for seed in 0..1500 {
+        let played = std::panic::catch_unwind(|| play(seed));
+        let Ok((read, kept)) = played else { panic!("seed {seed}") };
+        all += read;
+        taken += kept;
+    }
+    // Neither is everything refused, nor is everything sound.
+    assert!(taken * 10 > all && taken < all, "{taken} of {all}");
+}
