Tests share the sample's settings instead of restating them

Change: sample_with puts other lines into the sample; the core's own integration tests use its testing feature, which no other build has. Nothing that runs outside tests has changed.

--- a/crates/core/src/for_tests.rs
+++ b/crates/core/src/for_tests.rs
@@ -104,6 +104,10 @@
     c.orders(mid, (r.shift, r.tally), now, true).expect("orders").orders
 }
 
+/// Lines of the sample that other tests have otherwise.
+pub const TEAMS: &str = r#"teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }, { name = "blue", cpus = 8.0, cpus_max = 32.0 }, { name = "guest" }]"#;
+pub const OBJECTIVES: &str = r#"objectives = [{ kind = "wait", class = "steady", within_s = 40.0 }, { kind = "finished", class = "steady", within_s = 90.0 }]"#;
+
 pub const SAMPLE: &str = r#"
 member = "c-0"
 zone = "north"
@@ -140,6 +144,15 @@
 max_connections = 100
 "#;
 
+/// The sample with other lines in place of some of its own.
+pub fn sample_with(edits: &[(&str, &str)]) -> Settings {
+    let text = edits.iter().fold(SAMPLE.to_string(), |text, (from, to)| {
+        assert!(text.contains(from), "{from} is not in the sample");
+        text.replace(from, to)
+    });
+    toml::from_str(&text).expect("the sample parses")
+}
+
 pub fn sample() -> Settings {
     toml::from_str(SAMPLE).expect("the sample parses")
 }
--- a/crates/core/tests/failures/world.rs
+++ b/crates/core/tests/failures/world.rs
@@ -1,5 +1,6 @@
 //! The stand-ins' state, and the store.
 
+use copperhaven_core::for_tests::{OBJECTIVES, TEAMS, sample_with};
 use copperhaven_core::records::{Change, Cond, Record};
 use copperhaven_core::settings::Settings;
 use copperhaven_core::state::cell::Cell;
@@ -13,35 +14,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-pub const SETTINGS: &str = r#"
-member = "a"
-zone = "n"
-front = "127.0.0.1:1"
-cluster_listen = "127.0.0.1:2"
-[endpoints]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-zones = ["n", "s"]
-teams = [{ name = "red", cpus = 8.0, cpus_max = 12.0 }, { name = "blue", cpus = 4.0, cpus_max = 16.0 }]
-[deployment.workers]
-report_s = 1.0
-lease_s = 10.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 35.0
-[deployment.state]
-rps = 250.0
-write_rps = 60.0
-value_kb = 8.0
-txn_ops = 16
-[deployment.cloud]
-rps = 5.0
-list_lag_s = 5.0
-[deployment.limits]
-max_connections = 100
-"#;
-
+const OWN_TEAMS: &str = r#"teams = [{ name = "red", cpus = 8.0, cpus_max = 12.0 }, { name = "blue", cpus = 4.0, cpus_max = 16.0 }]"#;
+const ZONES: (&str, &str) = (r#"zones = ["north", "south"]"#, r#"zones = ["n", "s"]"#);
 pub const STEP: u64 = 100;
 
 /// Bytes of a value once the limits have fallen: a machine full of tasks of different jobs has no
@@ -149,7 +123,7 @@
 
 impl World {
     pub fn new(seed: u64) -> World {
-        let settings: Settings = toml::from_str(SETTINGS).expect("settings");
+        let settings = sample_with(&[(TEAMS, OWN_TEAMS), ZONES, (OBJECTIVES, "")]);
         let worker = |i: usize| Worker {
             name: format!("n-{i:03}"),
             zone: if i.is_multiple_of(2) { "n" } else { "s" },
--- a/crates/core/tests/takeover_input.rs
+++ b/crates/core/tests/takeover_input.rs
@@ -1,50 +1,15 @@
 //! Takeovers on records that nobody would write: whatever stands at the state service, a new leader does not
 //! panic, its lists agree, and what it writes fits. Seeded; a failing seed is printed.
 
+use copperhaven_core::for_tests::{T0 as NOW, TERM, cell};
 use copperhaven_core::records::*;
-use copperhaven_core::settings::Settings;
-use copperhaven_core::state::cell::Cell;
-use copperhaven_core::state::fleet::Flavor;
-use copperhaven_core::state::names::Names;
 use copperhaven_core::takeover::{Records, rebuild};
-use copperhaven_wire::cloud::WireFlavor;
 use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
 use copperhaven_wire::workers::{Parcel, Report};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use std::sync::Arc;
 
-const SETTINGS: &str = r#"
-member = "a"
-zone = "n"
-front = "127.0.0.1:1"
-cluster_listen = "127.0.0.1:2"
-[endpoints]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-zones = ["n", "s"]
-teams = [{ name = "red", cpus = 8.0, cpus_max = 12.0 }, { name = "blue" }]
-[deployment.workers]
-report_s = 1.0
-lease_s = 10.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 35.0
-[deployment.state]
-rps = 250.0
-write_rps = 60.0
-value_kb = 8.0
-txn_ops = 16
-[deployment.cloud]
-rps = 5.0
-list_lag_s = 5.0
-[deployment.limits]
-max_connections = 100
-"#;
-
-const NOW: u64 = 100_000;
 const WALL: u64 = 1_800_000_000_000;
 
 fn pick<T: Clone>(rng: &mut StdRng, from: &[T]) -> T {
@@ -98,8 +63,8 @@
         mem_gb: amount(rng),
         cargo: name(rng, &["i"]),
         pull_gb: amount(rng),
-        berths: rng.random_bool(0.2).then(|| vec![name(rng, &["m8", "m9"])]),
-        yard: rng.random_bool(0.2).then(|| name(rng, &["n", "s"])),
+        berths: rng.random_bool(0.2).then(|| vec![name(rng, &["small", "unheard of"])]),
+        yard: rng.random_bool(0.2).then(|| name(rng, &["north", "south"])),
         together: rng.random_bool(0.2),
         spread: rng.random_bool(0.2),
         loaners: rng.random_bool(0.5),
@@ -142,8 +107,8 @@
             .collect();
         let record = MachineRecord {
             addr: name(rng, &["127.0.0.1:9"]),
-            berth: name(rng, &["m8"]),
-            yard: name(rng, &["n", "s"]),
+            berth: name(rng, &["small", "big"]),
+            yard: name(rng, &["north", "south"]),
             spot: rng.random_bool(0.3),
             shift: number(rng),
             on,
@@ -151,7 +116,7 @@
         read.machines.push((format!("m/n-{n}"), record, 4));
     }
     for n in 0..rng.random_range(0..3) {
-        let (berth, yard) = (name(rng, &["m8"]), name(rng, &["n", "s"]));
+        let (berth, yard) = (name(rng, &["small", "big"]), name(rng, &["north", "south"]));
         let record =
             RentalRecord { berth, yard, spot: false, number: pick(rng, &[0, 3, u32::MAX]) };
         read.rentals.push((format!("r/r-1-{n}"), record, 5));
@@ -183,8 +148,8 @@
     Report {
         hearth: format!("n-{}", rng.random_range(0..7)),
         addr: "127.0.0.1:9".into(),
-        berth: name(rng, &["m8"]),
-        yard: name(rng, &["n", "s"]),
+        berth: name(rng, &["small", "big"]),
+        yard: name(rng, &["north", "south"]),
         loaners: false,
         shift: pick(rng, &[1, 1, 1, u64::MAX]),
         tally,
@@ -196,30 +161,14 @@
 
 fn play(seed: u64) -> (usize, usize) {
     let rng = &mut StdRng::seed_from_u64(seed);
-    let settings: Arc<Settings> = Arc::new(toml::from_str(SETTINGS).expect("settings"));
-    let mut names = Names::new(&settings);
-    let kind = WireFlavor {
-        label: "m8".into(),
-        cpus: 8.0,
-        cards: 0.0,
-        mem_gb: 32.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 1.0,
-        hourly: 1.0,
-        spot_price: 0.3,
-        startup_s: 20.0,
-        yards: vec!["n".into(), "s".into()],
-    };
-    let flavors = vec![Flavor::from_wire(&kind, &mut names)];
-    let leader = Cond { path: LEADER.into(), stamp: 9 };
-    let mut c = Cell::new(settings, 7, leader, NOW, names, flavors);
+    let mut c = cell();
     let read = records(rng);
     let all = read.jobs.len();
     rebuild(&mut c, read, NOW, WALL);
     c.fleet.provided = Some(0);
     for step in 1..12u64 {
         let now = NOW + step * rng.random_range(1..9_000);
-        let r = report(rng, 7, step);
+        let r = report(rng, TERM, step);
         if let copperhaven_core::workers::reports::Taken::Answer(mid) = c.on_report(&r, now) {
             c.place(now);
             let _ = c.orders(mid, (r.shift, r.tally), now, true);
--- a/crates/core/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -3,8 +3,8 @@
 //! again of this version's records is told by its structures, restated here.
 
 use copperhaven_core::admission::shape::admit_shape;
+use copperhaven_core::for_tests::{OBJECTIVES, TEAMS, sample_with};
 use copperhaven_core::records::*;
-use copperhaven_core::settings::Settings;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::state::fleet::Flavor;
 use copperhaven_core::state::ledger::Key;
@@ -20,36 +20,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-const SETTINGS: &str = r#"
-member = "c-0"
-zone = "north"
-front = "127.0.0.1:1"
-cluster_listen = "127.0.0.1:2"
-[endpoints]
-cloud = "127.0.0.1:3"
-state = "127.0.0.1:4"
-[deployment]
-zones = ["north", "south"]
-teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }]
-[deployment.workers]
-report_s = 1.0
-lease_s = 10.0
-gang_wait_s = 30.0
-gang_peer_s = 6.0
-cancel_s = 35.0
-[deployment.state]
-rps = 250.0
-write_rps = 60.0
-value_kb = 8.0
-txn_ops = 16
-next = { write_rps = 42.0, value_kb = 2.0, txn_ops = 5 }
-[deployment.cloud]
-rps = 5.0
-list_lag_s = 5.0
-[deployment.limits]
-max_connections = 100
-"#;
-
+const RED: &str = r#"teams = [{ name = "red", cpus = 16.0, cpus_max = 64.0 }]"#;
+const NEXT: (&str, &str) =
+    ("txn_ops = 16", "txn_ops = 16\nnext = { write_rps = 42.0, value_kb = 2.0, txn_ops = 5 }");
 const FIXTURE: &str = include_str!("fixtures/production.txt");
 const T0: u64 = 100_000;
 const TERM: u64 = 9;
@@ -66,7 +39,7 @@
 }
 
 fn cell(value_limit: usize) -> Cell {
-    let settings: Settings = toml::from_str(SETTINGS).expect("settings");
+    let settings = sample_with(&[(TEAMS, RED), (OBJECTIVES, ""), NEXT]);
     let mut names = Names::new(&settings);
     let types: FlavorsRecord = read("c/flavors");
     let flavors: Vec<Flavor> =
