Read once more: twins of the takeover's changes made one

Cause: the change was read as a whole. The bound on leases of an earlier leader stood twice, as did the look-up of a job taken in and not accepted; the largest machine type was looked for once per hidden machine; two blocks under one condition.

Change: each once (Cell::old_leases_end, Cell::unaccepted). Behaviour is the same; no test was touched.

--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -86,8 +86,7 @@
     /// a final record.
     pub fn read_back(&mut self, key: &str, stamp: Option<u64>, last: Option<FinalRecord>) {
         if let (Some(uid), Some(last)) = (key.strip_prefix("f/"), last)
-            && let Some(id) = self.jobs.id(uid)
-            && self.jobs.get(&id).is_some_and(|job| !self.accepted(id, job))
+            && let Some(id) = self.unaccepted(uid)
         {
             // Taken for new, but over long since: nothing of it was started or told.
             self.finals.remember(uid.into(), last);
@@ -100,14 +99,18 @@
     /// A job that was taken for new is over, but how can't be read: it is set aside, and nothing of it
     /// was started or told.
     pub fn end_unreadable(&mut self, uid: &str) {
-        if let Some(id) = self.jobs.id(uid)
-            && self.jobs.get(&id).is_some_and(|job| !self.accepted(id, job))
-        {
+        if let Some(id) = self.unaccepted(uid) {
             self.drop_unaccepted(id);
             self.aside.set_job(uid, format!("its record f/{uid} can't be read"));
         }
     }
 
+    /// The job of this id, if it was taken in and is not accepted yet.
+    fn unaccepted(&self, uid: &str) -> Option<JobId> {
+        let (id, job) = self.job(uid)?;
+        (!self.accepted(id, job)).then_some(id)
+    }
+
     fn drop_unaccepted(&mut self, id: JobId) {
         let on: Vec<(MachineId, u32)> = self
             .machines
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -122,7 +122,12 @@
 
     /// When nothing can be running any more on a machine that has not been heard in this term.
     pub fn unheard_over(&self, now: u64) -> bool {
-        now > self.taken + self.settings.holding_ms() + self.settings.lease_ms()
+        now > self.old_leases_end()
+    }
+
+    /// Until then an earlier leader may have gone on renewing workers that have not shown this term.
+    fn old_leases_end(&self) -> u64 {
+        self.taken + self.settings.holding_ms() + self.settings.lease_ms()
     }
 
     /// What tasks that no readable record tells of may be using at most. Whose they are is not
@@ -137,10 +142,9 @@
             unknown.cards += (m.cards - m.used_cards).max(0.0);
         }
         let largest = |f: fn(&Flavor) -> f64| self.flavors.iter().map(f).fold(0.0, f64::max);
-        for _ in self.aside.machines() {
-            unknown.cpus += largest(|f| f.cpus);
-            unknown.cards += largest(|f| f.cards);
-        }
+        let hidden = self.aside.machines().count() as f64;
+        unknown.cpus += hidden * largest(|f| f.cpus);
+        unknown.cards += hidden * largest(|f| f.cards);
         unknown
     }
 
@@ -151,10 +155,8 @@
 
     /// When nothing can be running on a machine any more, for want of a renewed lease.
     pub fn lease_over(&self, m: &Machine, now: u64) -> bool {
-        let lease = self.settings.lease_ms();
-        let own = m.answered.max(m.heard) + lease;
-        // Until the worker has shown this term an older leader may have gone on renewing it.
-        let old = if m.fenced { 0 } else { self.taken + self.settings.holding_ms() + lease };
+        let own = m.answered.max(m.heard) + self.settings.lease_ms();
+        let old = if m.fenced { 0 } else { self.old_leases_end() };
         now > own.max(old)
     }
 
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -147,8 +147,6 @@
                 self.detach(mid, id, task);
                 self.lost_task(id);
             }
-        }
-        if of_term {
             self.show_hidden(mid, foreign);
         }
         let notice = self.machines.get(&mid).is_some_and(|m| m.recall_at.is_some());
