--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -8,6 +8,7 @@
 use crate::state::machine::Seen;
 use crate::state::names::*;
 use crate::state::teams::{Split, Usage};
+use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::Shape;
 use std::collections::{BTreeMap, HashSet};
 
@@ -107,7 +108,7 @@
         let soon: Vec<Ranked> = self
             .soon_ready(boot * 0.5, now)
             .into_iter()
-            .map(|id| Ranked { id, guaranteed: false })
+            .map(|id| Ranked { id, guaranteed: false, need: Need::NONE })
             .collect();
         for r in self.ranked(now).into_iter().chain(soon) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
--- a/crates/core/src/pipelines/awaits.rs
+++ b/crates/core/src/pipelines/awaits.rs
@@ -4,6 +4,7 @@
 use crate::state::job::{Job, Spec, Wait, span_ms};
 use crate::state::ledger::Key;
 use crate::state::names::*;
+use crate::state::served;
 use copperhaven_wire::jobs::{JobBody, Shape};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -114,6 +115,10 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.accept_ver = ver;
         }
+        let pair = self.jobs.get(&id).map(|j| served::pair(&j.spec));
+        if let Some(pair) = pair {
+            self.service.taken(pair);
+        }
         if dead {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.derived = true;
@@ -161,6 +166,7 @@
         job.wait = Wait::Others;
         let (awaits, spec, due) = (job.awaits.clone(), job.spec.clone(), job.due);
         self.queue.remove(&turn);
+        self.service.forget(served::key(id));
         let due = due.map(|d| d - self.run_ms(id));
         for uid in awaits {
             self.links.needed.entry(uid.clone()).or_default().push(id);
--- a/crates/core/src/pipelines/follow.rs
+++ b/crates/core/src/pipelines/follow.rs
@@ -4,6 +4,7 @@
 use crate::state::job::{Wait, span_ms};
 use crate::state::ledger::Key;
 use crate::state::names::*;
+use crate::state::served;
 use copperhaven_wire::jobs::Precedence;
 
 /// Steps at a time, so that fans and chains of thousands never hold the leader up.
@@ -130,6 +131,7 @@
             job.routed = routed;
         }
         self.queue.insert(turn);
+        self.open_service(id);
         self.stir = true;
         tracing::debug!("nothing is missing any more for {}", spec.uid);
     }
@@ -142,6 +144,7 @@
         job.derived = true;
         job.waiting.clear();
         let (turn, uid) = ((job.turn_at, id), job.spec.uid.clone());
+        self.service.cancelled(served::key(id), served::pair(&job.spec));
         self.links.reconsider(job);
         self.queue.remove(&turn);
         self.links.decide(uid, false);
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -2,8 +2,9 @@
 
 use crate::state::cell::Cell;
 use crate::state::job::{EPS, Spec};
-use crate::state::machine::Seen;
 use crate::state::names::*;
+use copperhaven_fairness::Class;
+use copperhaven_fairness::loss::FOR_HIGHER;
 use copperhaven_wire::jobs::Shape;
 
 impl Cell {
@@ -70,12 +71,10 @@
                     cpus -= v.spec.cpus;
                     cards -= v.spec.cards;
                 } else if v.spec.precedence > spec.precedence && v.spec.shape != Shape::Gang {
-                    let ran = match e.seen {
-                        Seen::Running => now.saturating_sub(e.running_at.max(self.taken)),
-                        _ => 0,
-                    };
-                    let kept = v.spec.checkpoint_s > 0.0;
-                    let lost = if kept { v.spec.save_s } else { ran as f64 / 1000.0 };
+                    if !self.service.may_lose(Class(v.spec.class.0), FOR_HIGHER) {
+                        continue;
+                    }
+                    let lost = self.lost_s(&v.spec, e, now);
                     victims.push((lost, *mid, *vid, *task));
                 }
             }
@@ -100,6 +99,7 @@
             tracing::info!("preempt {count} tasks for {}: its team's limit", spec.uid);
         }
         for (mid, vid, task, grace) in stops {
+            self.count_stop(mid, vid, task, now);
             if let Some(v) = self.jobs.get_mut(&vid) {
                 v.preempted += 1;
             }
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -3,6 +3,8 @@
 use crate::state::cell::Cell;
 use crate::state::job::{EPS, Job};
 use crate::state::names::*;
+use crate::state::served;
+use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::{Precedence, Shape};
 
 /// A job in the order in which it is served.
@@ -11,15 +13,22 @@
     pub id: JobId,
     /// Within its team's guarantee, together with the team's earlier unfinished jobs.
     pub guaranteed: bool,
+    /// Its class or its team is served less than others: how urgently it is in need.
+    pub need: Need,
 }
 
+/// What jobs are served by: need, beyond the guarantee, guest, precedence, turn, work, arrival.
+type Rank = (Need, bool, bool, Precedence, u8, u64, u64);
+
 impl Cell {
-    /// Open jobs in the order in which they are served: those within their team's guarantee first,
+    /// Open jobs in the order in which they are served: those whose class or team is served too
+    /// little (`need`), those within their team's guarantee first,
     /// those of teams without one last, then by precedence. Among equals, those that can still be in time and have the least work
     /// left go first; a job that has waited for three times its span goes before all of them.
     pub fn ranked(&self, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.teams.len()];
-        let mut out: Vec<(bool, bool, Precedence, u8, u64, u64, JobId)> = Vec::new();
+        let needs = self.service.needs();
+        let mut out = Vec::new();
         for (at, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
             let team = &self.settings.deployment.teams[job.spec.team.ix()];
@@ -28,10 +37,18 @@
             sum.1 += job.spec.cards * f64::from(job.left());
             let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
             let (turn, work) = self.turn(job, now);
-            out.push((!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id));
+            // Guests take what is left, however little that was.
+            let need = match needs.of(served::pair(&job.spec)) {
+                _ if team.is_guest() => Need::NONE,
+                need => need,
+            };
+            let rank = (need, !within, team.is_guest(), job.spec.precedence, turn, work, *at);
+            out.push((rank, *id));
         }
         out.sort_unstable();
-        out.into_iter().map(|(g, .., id)| Ranked { id, guaranteed: !g }).collect()
+        let ranked =
+            |((need, beyond, ..), id): (Rank, JobId)| Ranked { id, guaranteed: !beyond, need };
+        out.into_iter().map(ranked).collect()
     }
 
     /// 0: has waited far too long; 1: may be in time; 2: is late already. And the work left, in
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -1,13 +1,12 @@
 //! Placement passes: every waiting task that can be placed is put on a machine's list.
 
 use crate::placement::order::Ranked;
+use crate::placement::preempt::Order;
 use crate::state::cell::Cell;
 use crate::state::cell::PASS_MS;
 use crate::state::job::{Spec, Wait};
 use crate::state::ledger::Key;
-use crate::state::names::*;
 use copperhaven_wire::jobs::Shape;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 const MOST_PASS_MS: u64 = 1000;
@@ -45,6 +44,7 @@
                 && a.precedence <= spec.precedence
                 // An array takes what it gets; a gang found too little for all of it.
                 && (!gang(a) || (gang(spec) && *least <= need))
+                && other.need <= r.need
                 && (!r.guaranteed || (other.guaranteed && a.team == spec.team))
         })
     }
@@ -68,9 +68,10 @@
         self.passed = now;
         let unknown = self.unknown_usage();
         self.teams.release_held(unknown);
+        self.pass_service(now);
         let ranked = self.ranked(now);
         let mut slots = self.slots(now);
-        let within: HashMap<JobId, bool> = ranked.iter().map(|r| (r.id, r.guaranteed)).collect();
+        let order: Order = ranked.iter().map(|r| (r.id, *r)).collect();
         let mut full = Full::default();
         for r in &ranked {
             let Some(job) = self.jobs.get(&r.id) else { continue };
@@ -137,7 +138,7 @@
                 let found = if futile {
                     kept
                 } else {
-                    let found = self.make_room(*r, &spec, &mut slots, &within, now);
+                    let found = self.make_room(*r, &spec, &mut slots, &order, now);
                     if !found {
                         if let Some(job) = self.jobs.get_mut(&r.id) {
                             job.look_at = now + LOOK_MS;
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -4,13 +4,23 @@
 use crate::placement::slots::Slot;
 use crate::state::cell::Cell;
 use crate::state::job::Spec;
-use crate::state::machine::{RESERVE_MS, Seen};
+use crate::state::machine::{Entry, RESERVE_MS, Seen};
 use crate::state::names::*;
+use crate::state::served;
+use copperhaven_fairness::Class;
+use copperhaven_fairness::loss::{FOR_EQUALS, FOR_HIGHER};
+use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::Shape;
 use std::collections::HashMap;
 
 /// What is lost, how many tasks then fit, and who has to go.
-type Victims = (f64, u32, Vec<(JobId, u32)>);
+type Victims = (f64, u32, Vec<Victim>);
+
+/// A task that leaves its machine for another's: stopped, or left to run out there.
+type Victim = (JobId, u32, bool);
+
+/// The order of service of a pass, by job.
+pub(crate) type Order = HashMap<JobId, Ranked>;
 
 impl Cell {
     /// Stops tasks to make room: those of lower priority; and, for a job within its team's
@@ -21,7 +31,7 @@
         r: Ranked,
         spec: &Spec,
         slots: &mut [Slot],
-        within: &HashMap<JobId, bool>,
+        order: &Order,
         now: u64,
     ) -> bool {
         // Until then an array within its guarantee stops guests only.
@@ -56,10 +66,10 @@
                 reserved: None,
             };
             for ((v, _), e) in &m.entries {
-                if let (Some(v), Some(_)) = (self.jobs.get(v), e.stop) {
-                    free.cpus += v.spec.cpus;
-                    free.cards += v.spec.cards;
-                    free.mem_gb += v.spec.mem_gb;
+                if let Some(v) = self.jobs.get(v)
+                    && (e.stop.is_some() || self.runs_out(&v.spec, e, now))
+                {
+                    free.take_back(&v.spec);
                 }
             }
             need = need.saturating_sub(free.fits(spec));
@@ -74,7 +84,7 @@
             if taken || barred || !s.allowed(spec) {
                 continue;
             }
-            if let Some((cost, n, victims)) = self.victims((r, patient), spec, s, within, need, now)
+            if let Some((cost, n, victims)) = self.victims((r, patient), spec, s, order, need, now)
             {
                 let image = if s.images.contains(&spec.image) { 0.0 } else { spec.image_gb * 50.0 };
                 plans.push(((cost + image) / f64::from(n), i, n, victims));
@@ -107,13 +117,15 @@
                 if keep {
                     m.reserved = Some((r.id, now + RESERVE_MS));
                 }
-                let (name, count) = (m.name.clone(), victims.len());
+                let stopped = victims.iter().filter(|(.., runs_out)| !runs_out).count();
+                let (name, count) = (m.name.clone(), stopped);
                 if count > 0 {
                     let why = if spec.shape == Shape::Array { "guarantee" } else { "priority" };
                     tracing::info!("preempt {count} tasks on {name} for {} ({why})", spec.uid);
                 }
             }
-            for (vid, task) in victims {
+            for (vid, task, _) in victims.into_iter().filter(|(.., runs_out)| !runs_out) {
+                self.count_stop(mid, vid, task, now);
                 let Some(v) = self.jobs.get_mut(&vid) else { continue };
                 v.preempted += 1;
                 let grace = if v.spec.checkpoint_s > 0.0 { v.spec.save_s + 1.0 } else { 0.0 };
@@ -127,6 +139,40 @@
         any
     }
 
+    /// For how long a task has run, as far as this leader knows, in seconds.
+    fn ran_s(&self, e: &Entry, now: u64) -> f64 {
+        let since = e.running_at.max(self.taken);
+        if e.seen == Seen::Running { now.saturating_sub(since) as f64 / 1000.0 } else { 0.0 }
+    }
+
+    /// What is lost of a task's run if it is stopped now, in seconds.
+    pub(crate) fn lost_s(&self, spec: &Spec, e: &Entry, now: u64) -> f64 {
+        let ran = self.ran_s(e, now);
+        if spec.checkpoint_s > 0.0 { ran.min(spec.save_s) } else { ran }
+    }
+
+    /// How much longer a task is expected to run, in seconds.
+    fn rest_s(&self, spec: &Spec, e: &Entry, now: u64) -> f64 {
+        let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
+        (run - self.ran_s(e, now)).max(0.0)
+    }
+
+    /// Will this task have left its machine by itself before a reservation ends?
+    fn runs_out(&self, spec: &Spec, e: &Entry, now: u64) -> bool {
+        spec.shape == Shape::Array && self.rest_s(spec, e, now) * 1000.0 < RESERVE_MS as f64
+    }
+
+    /// Counts a task that is about to be stopped for others.
+    pub(crate) fn count_stop(&mut self, mid: MachineId, id: JobId, task: u32, now: u64) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(m) = self.machines.get(&mid) else { return };
+        let Some(e) = m.entries.get(&(id, task)) else { return };
+        let spec = &job.spec;
+        let tasks = if spec.shape == Shape::Gang { f64::from(spec.tasks) } else { 1.0 };
+        let lost = self.lost_s(spec, e, now) * spec.cpus * tasks;
+        self.service.stopped(served::pair(spec), lost);
+    }
+
     /// Does any team without a guarantee have work on machines?
     fn guests_run(&self) -> bool {
         let teams = &self.settings.deployment.teams;
@@ -158,13 +204,13 @@
         (r, patient): (Ranked, bool),
         spec: &Spec,
         slot: &Slot,
-        within: &HashMap<JobId, bool>,
+        order: &Order,
         need: u32,
         now: u64,
     ) -> Option<Victims> {
         let m = self.machines.get(&slot.mid)?;
         let mut free = slot.clone();
-        let mut list: Vec<(f64, JobId, u32)> = Vec::new();
+        let mut list: Vec<(f64, Victim)> = Vec::new();
         for ((id, task), e) in &m.entries {
             let v = self.jobs.get(id)?;
             if e.stop.is_some() {
@@ -176,22 +222,31 @@
             let lower = v.spec.precedence > spec.precedence && (!guest(spec) || guest(&v.spec));
             let beyond = r.guaranteed
                 && v.spec.team != spec.team
-                && !within.get(id).copied().unwrap_or(true)
+                && !order.get(id).is_none_or(|v| v.guaranteed)
                 && v.spec.precedence >= spec.precedence;
             if !(lower || beyond) || (patient && !guest(&v.spec)) {
                 continue;
             }
-            let ran = if e.seen == Seen::Running {
-                now.saturating_sub(e.running_at.max(self.taken)) as f64 / 1000.0
-            } else {
-                0.0
-            };
-            let lost = if v.spec.checkpoint_s > 0.0 { ran.min(v.spec.save_s) } else { ran };
+            // Nobody makes room who is as much in need as the one that wants it.
+            let needy = order.get(id).map_or(Need::NONE, |v| v.need);
+            if needy.is_some() && needy <= r.need {
+                continue;
+            }
+            let part = if lower { FOR_HIGHER } else { FOR_EQUALS };
+            if !guest(&v.spec) && !self.service.may_lose(Class(v.spec.class.0), part) {
+                // Enough of its work was lost: a gang waits until it has run out, if that is soon.
+                if spec.shape == Shape::Gang && self.runs_out(&v.spec, e, now) {
+                    let idle = self.rest_s(&v.spec, e, now) * v.spec.cpus;
+                    list.push((idle, (*id, *task, true)));
+                }
+                continue;
+            }
             let gang = if v.spec.shape == Shape::Gang { f64::from(v.spec.tasks) } else { 1.0 };
-            list.push(((lost + 1.0) * v.spec.cpus * gang, *id, *task));
+            let lost = self.lost_s(&v.spec, e, now);
+            list.push(((lost + 1.0) * v.spec.cpus * gang, (*id, *task, false)));
         }
         let mut all = free.clone();
-        for (_, id, _) in &list {
+        for (_, (id, ..)) in &list {
             all.take_back(&self.jobs.get(id)?.spec);
         }
         if all.fits(spec) == 0 {
@@ -207,11 +262,11 @@
             }
         };
         step(&free, 0.0, 0);
-        for (c, id, task) in list {
-            let Some(v) = self.jobs.get(&id) else { continue };
+        for (c, victim) in list {
+            let Some(v) = self.jobs.get(&victim.0) else { continue };
             free.take_back(&v.spec);
             cost += c;
-            victims.push((id, task));
+            victims.push(victim);
             step(&free, cost, victims.len());
         }
         let (cost, n, count) = best?;
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -8,6 +8,7 @@
 use crate::state::ledger::{Batch, Key};
 use crate::state::machine::Seen;
 use crate::state::names::*;
+use crate::state::served;
 
 impl Cell {
     /// The next transaction: at most `ops` changes, the most urgent keys first.
@@ -124,6 +125,7 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.queue.remove(&(job.turn_at, id));
+        self.service.forget(served::key(id));
         self.links.reconsider(&job);
         self.links.forget(&job.spec.uid);
         self.ledger.forget(&Key::Job(id));
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -12,8 +12,10 @@
 use crate::state::machine::{Direct, Entry, Machine, Seen};
 use crate::state::names::*;
 use crate::state::rates::Rates;
+use crate::state::served;
 use crate::state::table::Table;
 use crate::state::teams::{Teams, Usage};
+use copperhaven_fairness::ledger::Service;
 use copperhaven_wire::jobs::{JobBody, Precedence};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -39,6 +41,8 @@
     pub aside: Aside,
     pub rates: Rates,
     pub fleet: Fleet,
+    /// What was served to whom.
+    pub service: Service,
     pub direct: Vec<Direct>,
     next_id: usize,
     next_try: u64,
@@ -68,6 +72,7 @@
             ledger: Ledger::new(leader, settings.deployment.state.value_bytes()),
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
+            service: Service::default(),
             links: Links::default(),
             aside: Aside::default(),
             finals: Finals::default(),
@@ -176,6 +181,7 @@
         job.eta = born + span_ms(run);
         self.queue.insert((at, id));
         self.jobs.insert(id, job);
+        self.open_service(id);
         id
     }
 
@@ -239,6 +245,7 @@
                 job.failures,
             );
         }
+        let done = !job.cancelled();
         let at = job.turn_at;
         let chunks = job.spec.tasks.div_ceil(CHUNK);
         let ver = self.touch(Key::Job(id));
@@ -248,6 +255,9 @@
         self.queue.remove(&(at, id));
         if let Some(job) = self.jobs.get_mut(&id) {
             job.final_ver = Some(ver);
+            if done {
+                self.service.done(served::key(id));
+            }
             job.routed.iter_mut().for_each(|r| *r = 0);
         }
         self.stir = true;
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -16,6 +16,7 @@
 pub mod machine;
 pub mod names;
 pub mod rates;
+pub mod served;
 pub mod table;
 pub mod tasks;
 pub mod teams;
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -7,6 +7,7 @@
 use crate::state::job::{CHUNK, FAR_MS, Wait};
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Entry};
+use crate::state::served;
 use copperhaven_wire::jobs::check;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -143,6 +144,7 @@
                 job.cancel_ver = Some(0);
                 job.waiting.clear();
                 cell.queue.remove(&(at, id));
+                cell.service.forget(served::key(id));
             } else if let Some(since) = record.since {
                 // It has waited for others.
                 let since = since.min(wall_ms + FAR_MS as u64);
@@ -150,6 +152,7 @@
                 job.turn_at = since;
                 cell.queue.remove(&(at, id));
                 cell.queue.insert((since, id));
+                cell.open_service(id);
             }
         }
         cell.ledger.mark_saved(Key::Job(id));
--- a/crates/core/src/workers/ends.rs
+++ b/crates/core/src/workers/ends.rs
@@ -5,6 +5,7 @@
 use crate::state::ledger::Key;
 use crate::state::machine::Machine;
 use crate::state::names::*;
+use crate::state::served;
 use copperhaven_wire::jobs::Shape;
 
 impl Cell {
@@ -20,6 +21,7 @@
             job.waiting.clear();
             let at = job.turn_at;
             self.queue.remove(&(at, id));
+            self.service.cancelled(served::key(id), served::pair(&job.spec));
             self.links.reconsider(job);
         }
         self.stop_all(id, now, 0.0);
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -6,6 +6,7 @@
 use crate::state::ledger::Key;
 use crate::state::machine::{Ended, Entry, RESERVE_MS, Seen};
 use crate::state::names::*;
+use crate::state::served;
 use copperhaven_wire::jobs::Shape;
 use copperhaven_wire::workers::{Parcel, Report};
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,6 +34,7 @@
         if r.warrant > self.term {
             return Taken::NewerTerm(r.warrant);
         }
+        self.pass_service(now);
         if self.fleet.is_gone(&r.hearth) {
             // A report held back by the network, from a machine that the cloud has since confirmed
             // as gone: what it lists is nowhere any more.
@@ -194,6 +196,7 @@
                 job.running += 1;
                 job.started = true;
                 job.wait = Wait::Nothing;
+                self.service.started(served::pair(&job.spec), 1);
                 // When a task started is not known if an earlier leader had it started. One whose
                 // image is there starts right away: the report before did not list it yet.
                 e.running_at = if taken_over { 0 } else { now };
@@ -256,6 +259,7 @@
                     let s = now.saturating_sub(entry.running_at) as f64 / 1000.0;
                     let pool = self.pool(zone, kind);
                     self.rates.finished(pool, spec.class, s);
+                    self.service.useful(served::pair(&spec), s * spec.cpus);
                     if let Some(job) = self.jobs.get_mut(&id) {
                         job.runs.0 += 1;
                         job.runs.1 += s;
--- /dev/null
+++ b/crates/fairness/src/carried.rs
@@ -0,0 +1,1 @@
+//! What of the ledger outlives a leader.
