--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -23,6 +23,11 @@
 /// arrival, job.
 type Rank = (bool, bool, Precedence, u8, u64, u64, JobId);
 
+/// A job that has waited for so many of its spans goes before its equals; the second while its class is
+/// served too little.
+const FAR: f64 = 3.0;
+const FAR_SHORT: f64 = 12.0;
+
 impl Cell {
     /// Open jobs in the order in which they are served: those within their team's guarantee first,
     /// those of teams without one last, then by precedence. Among equals, those that can still be in time and have the least work
@@ -30,8 +35,7 @@
     /// a team or a class is served too little, that order is changed (`copperhaven_fairness::need`).
     pub fn ranked(&self, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.teams.len()];
-        let short = self.service.is_short();
-        let mut claims: BTreeMap<Team, Claim> = BTreeMap::new();
+        let needs = self.needs();
         let mut places: Vec<Place<Rank, bool>> = Vec::new();
         for (at, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -40,19 +44,11 @@
             sum.0 += job.spec.cpus * f64::from(job.left());
             sum.1 += job.spec.cards * f64::from(job.left());
             let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
-            let (turn, work) = self.turn(job, now);
             let pair = served::pair(&job.spec);
-            if short {
-                // Guests take what is left, however little that was.
-                let weight = if team.is_guest() { 0.0 } else { team.cpus.max(1.0) };
-                let claim = claims.entry(pair.0).or_default();
-                claim.weight = weight;
-                claim.backlog_s += self.work_ms(job) as f64 / 1000.0;
-            }
+            let (turn, work) = self.turn(job, needs.class(pair), now);
             let rank = (!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id);
             places.push(Place { pair, rank, what: within });
         }
-        let needs = if short { self.service.needs(&claims) } else { Needs::default() };
         order(&mut places, &needs);
         let ranked = |p: Place<Rank, bool>| Ranked {
             id: p.rank.6,
@@ -62,6 +58,21 @@
         places.into_iter().map(ranked).collect()
     }
 
+    /// Who is served too little. Guests take what is left, however little that was.
+    fn needs(&self) -> Needs {
+        if !self.service.is_short() {
+            return Needs::default();
+        }
+        let mut claims: BTreeMap<Team, Claim> = BTreeMap::new();
+        for job in self.queue.iter().filter_map(|(_, id)| self.jobs.get(id)) {
+            let team = &self.settings.deployment.teams[job.spec.team.ix()];
+            let claim = claims.entry(Team(job.spec.team.0)).or_default();
+            claim.weight = if team.is_guest() { 0.0 } else { team.cpus.max(1.0) };
+            claim.backlog_s += self.work_ms(job) as f64 / 1000.0;
+        }
+        self.service.needs(&claims)
+    }
+
     /// The work left of a job, in CPU milliseconds.
     fn work_ms(&self, job: &Job) -> u64 {
         let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
@@ -70,14 +81,17 @@
 
     /// 0: has waited far too long, and goes by arrival; 1: may be in time; 2: is late already. Those
     /// go by the work left.
-    fn turn(&self, job: &Job, now: u64) -> (u8, u64) {
+    fn turn(&self, job: &Job, need: Need, now: u64) -> (u8, u64) {
         let spec = &job.spec;
         let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
         let span = 1.0 / self.theta(spec);
         // A deadline counts from the submission, everything else from when nothing is missing.
         let from = if spec.deadline_s.is_some() { job.born } else { job.since };
         let age = (now as i64 - from) as f64 / 1000.0;
-        if age > 3.0 * span {
+        // Where a class is served too little nearly all its jobs have waited for long: by arrival the
+        // large ones would keep many small ones from being served at all.
+        let far = if need.is_some() { FAR_SHORT } else { FAR };
+        if age > far * span {
             return (0, 0);
         }
         let late = spec.shape == Shape::Array && age + run > span;
--- a/crates/fairness/tests/service.rs
+++ b/crates/fairness/tests/service.rs
@@ -51,7 +51,7 @@
         let mut plain: BTreeMap<Pair, Plain> = BTreeMap::new();
         let mut open: Vec<(Job, Pair, u64)> = vec![];
         let mut next = 0;
-        let mut pick = |open: &mut Vec<(Job, Pair, u64)>, i: usize| {
+        let pick = |open: &mut Vec<(Job, Pair, u64)>, i: usize| {
             (!open.is_empty()).then(|| open.swap_remove(i % open.len()))
         };
         for e in events {
