--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -109,7 +109,11 @@
         let soon: Vec<Ranked> = self
             .soon_ready(boot * 0.5, now)
             .into_iter()
-            .map(|id| Ranked { id, guaranteed: false, need: Need::NONE })
+            .filter_map(|id| {
+                let team = self.jobs.get(&id)?.spec.team;
+                let (team_need, class_need) = (Need::NONE, Need::NONE);
+                Some(Ranked { id, guaranteed: false, team, team_need, class_need })
+            })
             .collect();
         for r in self.ranked(now).into_iter().chain(soon) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -15,8 +15,19 @@
     pub id: JobId,
     /// Within its team's guarantee, together with the team's earlier unfinished jobs.
     pub guaranteed: bool,
-    /// Its class or its team is served less than others: how urgently it is in need.
-    pub need: Need,
+    pub team: TeamId,
+    /// Its team, or its class within the team, is served too little: how urgently it is in need.
+    pub team_need: Need,
+    pub class_need: Need,
+}
+
+impl Ranked {
+    /// Does nothing of `v` make room for this one, because it is as much in need? Of another team, a
+    /// less served one is spared; else, and of its own, a less served class.
+    pub(crate) fn spares(&self, v: &Ranked) -> bool {
+        let team = v.team != self.team && v.team_need < self.team_need;
+        team || (v.class_need.is_some() && v.class_need <= self.class_need)
+    }
 }
 
 /// What jobs are served by while nobody is in need: beyond the guarantee, guest, precedence, turn, work,
@@ -53,7 +64,9 @@
         let ranked = |p: Place<Rank, bool>| Ranked {
             id: p.rank.6,
             guaranteed: p.what,
-            need: needs.team(p.pair.0).min(needs.class(p.pair)),
+            team: TeamId(p.pair.0.0),
+            team_need: needs.team(p.pair.0),
+            class_need: needs.class(p.pair),
         };
         places.into_iter().map(ranked).collect()
     }
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -9,7 +9,6 @@
 use crate::state::served;
 use copperhaven_fairness::Class;
 use copperhaven_fairness::loss::{FOR_EQUALS, FOR_HIGHER};
-use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::Shape;
 use std::collections::HashMap;
 
@@ -51,6 +50,7 @@
             .map(|(mid, _)| *mid)
             .collect();
         // What the machines already held for it will give once they are free.
+        let short = self.needs.any();
         for mid in &held {
             let m = &self.machines[mid];
             let mut free = Slot {
@@ -67,7 +67,7 @@
             };
             for ((v, _), e) in &m.entries {
                 if let Some(v) = self.jobs.get(v)
-                    && (e.stop.is_some() || self.runs_out(&v.spec, e, now))
+                    && (e.stop.is_some() || (short && self.runs_out(&v.spec, e, now)))
                 {
                     free.take_back(&v.spec);
                 }
@@ -210,6 +210,7 @@
     ) -> Option<Victims> {
         let m = self.machines.get(&slot.mid)?;
         let mut free = slot.clone();
+        let short = self.needs.any();
         let mut list: Vec<(f64, Victim)> = Vec::new();
         for ((id, task), e) in &m.entries {
             let v = self.jobs.get(id)?;
@@ -224,18 +225,15 @@
                 && v.spec.team != spec.team
                 && !order.get(id).is_none_or(|v| v.guaranteed)
                 && v.spec.precedence >= spec.precedence;
-            if !(lower || beyond) || (patient && !guest(&v.spec)) {
-                continue;
-            }
-            // Nobody makes room who is as much in need as the one that wants it.
-            let needy = order.get(id).map_or(Need::NONE, |v| v.need);
-            if needy.is_some() && needy <= r.need {
-                continue;
-            }
             let part = if lower { FOR_HIGHER } else { FOR_EQUALS };
-            if !guest(&v.spec) && !self.service.may_lose(Class(v.spec.class.0), part) {
-                // Enough of its work was lost: a gang waits until it has run out, if that is soon.
-                if spec.shape == Shape::Gang && self.runs_out(&v.spec, e, now) {
+            let may = (lower || beyond)
+                && (!patient || guest(&v.spec))
+                && !order.get(id).is_some_and(|v| r.spares(v))
+                && (guest(&v.spec) || self.service.may_lose(Class(v.spec.class.0), part));
+            if !may {
+                // While somebody is served too little, a gang whose turn it is waits for what runs out
+                // soon: small tasks would take every place that gets free, and it none.
+                if short && spec.shape == Shape::Gang && self.runs_out(&v.spec, e, now) {
                     let idle = self.rest_s(&v.spec, e, now) * v.spec.cpus;
                     list.push((idle, (*id, *task, true)));
                 }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -60,7 +60,13 @@
     let full = Full { no_place: vec![strict], no_victims: vec![] };
     assert!(!full.has_no_place(&spec(|b| (b.cpus, b.loaners) = (5.0, true))));
 
-    let ranked = |guaranteed| Ranked { id: JobId(1), guaranteed, need: Need::NONE };
+    let ranked = |guaranteed| Ranked {
+        id: JobId(1),
+        guaranteed,
+        team: TeamId(0),
+        team_need: Need::NONE,
+        class_need: Need::NONE,
+    };
     let gang = |b: &mut JobBody| {
         (b.shape, b.parcels, b.cpus, b.precedence) = (Shape::Gang, 3, 4.0, Precedence::Normal);
     };
