--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -111,7 +111,7 @@
             .into_iter()
             .filter_map(|id| {
                 let team = self.jobs.get(&id)?.spec.team;
-                let (team_need, class_need) = (Need::NONE, Need::NONE);
+                let (team_need, class_need) = (false, Need::NONE);
                 Some(Ranked { id, guaranteed: false, team, team_need, class_need })
             })
             .collect();
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -16,16 +16,17 @@
     /// Within its team's guarantee, together with the team's earlier unfinished jobs.
     pub guaranteed: bool,
     pub team: TeamId,
-    /// Its team, or its class within the team, is served too little: how urgently it is in need.
-    pub team_need: Need,
+    /// Its team is served too little and has less than its share; how urgently its class is in
+    /// need within the team.
+    pub team_need: bool,
     pub class_need: Need,
 }
 
 impl Ranked {
-    /// Does nothing of `v` make room for this one, because it is as much in need? Of another team, a
-    /// less served one is spared; else, and of its own, a less served class.
+    /// Does nothing of `v` make room for this one, because it is as much in need? Spared are a team
+    /// that is in need while this one is not, and a class that is as much in need.
     pub(crate) fn spares(&self, v: &Ranked) -> bool {
-        let team = v.team != self.team && v.team_need < self.team_need;
+        let team = v.team != self.team && v.team_need && !self.team_need;
         team || (v.class_need.is_some() && v.class_need <= self.class_need)
     }
 }
@@ -58,7 +59,8 @@
             let pair = served::pair(&job.spec);
             let (turn, work) = self.turn(job, needs.class(pair), now);
             let rank = (!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id);
-            places.push(Place { pair, rank, what: within });
+            let cpus = job.spec.cpus * f64::from(job.waiting.len());
+            places.push(Place { pair, rank, cpus, what: within });
         }
         order(&mut places, &needs);
         let ranked = |p: Place<Rank, bool>| Ranked {
@@ -81,9 +83,12 @@
             let team = &self.settings.deployment.teams[job.spec.team.ix()];
             let claim = claims.entry(Team(job.spec.team.0)).or_default();
             claim.weight = if team.is_guest() { 0.0 } else { team.cpus.max(1.0) };
-            claim.backlog_s += self.work_ms(job) as f64 / 1000.0;
+            claim.uses = self.teams.usage(job.spec.team).cpus;
+            claim.waits += job.spec.cpus * f64::from(job.waiting.len());
+            claim.waits = claim.waits.min((team.cpus_max - claim.uses).max(0.0));
         }
-        self.service.needs(&claims)
+        let cpus = self.machines.values().filter(|m| !m.leaving && !m.faulty).map(|m| m.cpus).sum();
+        self.service.needs(&claims, cpus)
     }
 
     /// The work left of a job, in CPU milliseconds.
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -44,7 +44,8 @@
                 && a.precedence <= spec.precedence
                 // An array takes what it gets; a gang found too little for all of it.
                 && (!gang(a) || (gang(spec) && *least <= need))
-                && (other.team_need, other.class_need) <= (r.team_need, r.class_need)
+                && other.team_need >= r.team_need
+                && other.class_need <= r.class_need
                 && (!r.guaranteed || (other.guaranteed && a.team == spec.team))
         })
     }
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -64,7 +64,7 @@
         id: JobId(1),
         guaranteed,
         team: TeamId(0),
-        team_need: Need::NONE,
+        team_need: false,
         class_need: Need::NONE,
     };
     let gang = |b: &mut JobBody| {
--- a/crates/core/src/state/served.rs
+++ b/crates/core/src/state/served.rs
@@ -2,18 +2,18 @@
 
 use crate::records::{Record, SERVICE_PARTS, ServiceRecord};
 use crate::state::cell::Cell;
-use crate::state::job::{Spec, span_ms};
+use crate::state::job::{Job, Spec, span_ms};
 use crate::state::ledger::Key;
 use crate::state::names::*;
 use copperhaven_fairness::carried::Carried;
 use copperhaven_fairness::ledger::{Row, Service};
-use copperhaven_fairness::{Class, Job, Pair, Team};
+use copperhaven_fairness::{self as fairness, Class, Pair, Team};
 
 /// A job that fails wherever it starts is nobody's neglect; it is looked at again after this long.
 const EXCUSED_MS: u64 = 30_000;
 
-pub fn key(id: JobId) -> Job {
-    Job(u64::from(id.0))
+pub fn key(id: JobId) -> fairness::Job {
+    fairness::Job(u64::from(id.0))
 }
 
 pub fn pair(spec: &Spec) -> Pair {
@@ -82,7 +82,14 @@
         let busy = |r: &Row| r.taken > 0 || r.open > 0;
         let mut out: Vec<String> = vec![];
         for (class, row) in self.service.classes().filter(|(_, r)| busy(r)) {
-            out.push(tell(self.names.classes.name(class.0 as usize), row));
+            let own = |j: &&Job| j.spec.class.0 == class.0;
+            let cpus = |n: fn(&Job) -> u32| -> f64 {
+                self.jobs.values().filter(own).map(|j| j.spec.cpus * f64::from(n(j))).sum()
+            };
+            let (on, runs, waits) =
+                (cpus(|j| j.onto.values().sum()), cpus(|j| j.running), cpus(|j| j.waiting.len()));
+            let text = tell(self.names.classes.name(class.0 as usize), row);
+            out.push(format!("{text}: {on:.0} CPUs, {runs:.0} run, {waits:.0} wait"));
         }
         let teams = self.service.teams().filter(|(_, r)| busy(r));
         let least = teams.min_by(|a, b| a.1.share(now).total_cmp(&b.1.share(now)));
@@ -111,7 +118,7 @@
     /// Time passes: open jobs become late, but for those that fail wherever they start.
     pub(crate) fn pass_service(&mut self, now: u64) {
         let Cell { service, jobs, .. } = self;
-        let failing = |job: Job| {
+        let failing = |job: fairness::Job| {
             let id = JobId(job.0 as u32);
             jobs.get(&id).is_some_and(|j| j.is_failing())
         };
