--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -12,6 +12,9 @@
 use copperhaven_wire::jobs::Shape;
 use std::collections::HashMap;
 
+/// Arrays in need have at most one of so many machines kept for them.
+const KEPT: usize = 4;
+
 /// What is lost, how many tasks then fit, and who has to go.
 type Victims = (f64, u32, Vec<Victim>);
 
@@ -35,7 +38,11 @@
     ) -> bool {
         // Until then an array within its guarantee stops guests only.
         let patient = spec.shape == Shape::Array && !self.array_may_preempt(r, now);
-        if patient && !(r.guaranteed && self.guests_run()) {
+        // One in need has machines kept for it until smaller tasks there have run out: they would
+        // take each place that gets free before it is large enough. Not all machines at once.
+        let kept = slots.iter().filter(|s| s.reserved.is_some()).count();
+        let collects = r.class_need.is_some() && kept < slots.len().div_ceil(KEPT);
+        if patient && !collects && !(r.guaranteed && self.guests_run()) {
             return false;
         }
         let Some(job) = self.jobs.get(&r.id) else { return false };
@@ -109,7 +116,7 @@
             let mid = slots[i].mid;
             // A gang needs all its places at once, so they are kept for it. An array's tasks come
             // one by one: served first anyway, it needs no machine to itself.
-            let keep = spec.shape != Shape::Array;
+            let keep = spec.shape != Shape::Array || collects;
             if keep {
                 slots[i].reserved = Some(r.id);
             }
@@ -231,9 +238,10 @@
                 && !order.get(id).is_some_and(|v| r.spares(v))
                 && (guest(&v.spec) || self.service.may_lose(Class(v.spec.class.0), part));
             if !may {
-                // While somebody is served too little, a gang whose turn it is waits for what runs out
+                // While somebody is served too little, whoever's turn it is waits for what runs out
                 // soon: small tasks would take every place that gets free, and it none.
-                if short && spec.shape == Shape::Gang && self.runs_out(&v.spec, e, now) {
+                let waits = spec.shape == Shape::Gang || r.class_need.is_some();
+                if short && waits && self.runs_out(&v.spec, e, now) {
                     let idle = self.rest_s(&v.spec, e, now) * v.spec.cpus;
                     list.push((idle, (*id, *task, true)));
                 }
--- a/crates/core/src/placement/singles.rs
+++ b/crates/core/src/placement/singles.rs
@@ -7,6 +7,16 @@
 use copperhaven_wire::jobs::Shape;
 
 impl Cell {
+    /// All its tasks have their places: what was kept for it is free for others.
+    fn release_kept(&mut self, id: JobId, slots: &mut [Slot]) {
+        for s in slots.iter_mut().filter(|s| s.reserved == Some(id)) {
+            s.reserved = None;
+            if let Some(m) = self.machines.get_mut(&s.mid) {
+                m.reserved = None;
+            }
+        }
+    }
+
     pub(crate) fn place_single(
         &mut self,
         id: JobId,
@@ -25,6 +35,7 @@
             loop {
                 let left = self.jobs.get(&id).map_or(0, |j| j.waiting.len());
                 if left == 0 {
+                    self.release_kept(id, slots);
                     return Wait::Image;
                 }
                 let quota = self.team_room(spec);
@@ -59,6 +70,7 @@
             }
         }
         if self.jobs.get(&id).is_none_or(|j| j.waiting.is_empty()) {
+            self.release_kept(id, slots);
             return Wait::Image;
         }
         if self.team_room(spec) == 0 {
