--- a/crates/controller/src/cluster/frames.rs
+++ b/crates/controller/src/cluster/frames.rs
@@ -69,13 +69,13 @@
         }
     }
 
-    pub(crate) fn pong((term, leads): (u64, bool), reaches: u16) -> Header {
+    pub(crate) fn pong((term, leads): (u64, bool), reaches: u16, len: usize) -> Header {
         Header {
             leads: u8::from(leads),
             status: U16::new(RELEASE),
             reaches: U16::new(reaches),
             term: U64::new(term),
-            ..Header::new(ANSWER, 0, 0)
+            ..Header::new(ANSWER, 0, len)
         }
     }
 
@@ -136,7 +136,7 @@
         assert_eq!(Header::new(PING, 0, 0).frame(&[]), fixture("frame-ping "));
         let pong = Header::parse(&fixture("frame-pong ")).expect("understood");
         assert_eq!((pong.kind, pong.term.get(), pong.status.get()), (ANSWER, 7, 0));
-        let mut ours = Header::pong((7, false), 0);
+        let mut ours = Header::pong((7, false), 0, 0);
         assert_eq!(ours.status.get(), RELEASE);
         ours.status = U16::new(0);
         assert_eq!(ours.frame(&[]), fixture("frame-pong "), "but for the release the same");
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod commits;
 pub mod load;
+pub mod probes;
 pub mod ticks;
 
 use crate::dealings;
@@ -23,12 +24,15 @@
 
 /// Follows, stands for election when nobody leads, leads; for ever.
 pub async fn run(node: Arc<Node>) {
+    tokio::spawn(probes::run(node.clone()));
     loop {
         if node.state.lock().expect("lock").flavors.is_none() {
             // Workers' leases run while nobody leads: the types that an earlier leader recorded
             // are at hand at once, also when the cloud is in trouble. They are brought up to date
             // beside.
+            let sent = node.now();
             let recorded = node.store.get::<FlavorsRecord>(FLAVORS).await;
+            node.state_asked(sent, recorded.is_ok());
             node.state_service(recorded.as_ref().err());
             if let Ok(Some((r, _))) = recorded {
                 node.state.lock().expect("lock").flavors = Some(r.berths);
@@ -39,7 +43,9 @@
             }
             continue;
         }
+        let sent = node.now();
         let leader = node.store.get::<LeaderRecord>(LEADER).await;
+        node.state_asked(sent, leader.is_ok());
         node.state_service(leader.as_ref().err());
         match leader {
             Ok(Some((record, _))) => {
@@ -48,12 +54,8 @@
                 sleep(ms(350 + rand::random::<u64>() % 100)).await;
             }
             Ok(None) => {
-                // Whoever neither peers nor workers reach leaves the others the first tries.
-                if !node.of_use(node.now()) {
-                    sleep(ms(2000)).await;
-                    if !matches!(node.store.get::<LeaderRecord>(LEADER).await, Ok(None)) {
-                        continue;
-                    }
+                if !my_turn(&node).await {
+                    continue;
                 }
                 if let Some((term, stamp, lease, sent)) = elect(&node).await {
                     lead(&node, term, stamp, lease, sent).await;
@@ -68,6 +70,29 @@
     }
 }
 
+/// Nobody leads: leaves those that are fitter the first tries. False: somebody leads by now, or it is not
+/// known.
+async fn my_turn(node: &Node) -> bool {
+    let since = node.now();
+    let mut told = 0;
+    loop {
+        // What is known changes meanwhile.
+        let wait = node.standing_wait();
+        let left = (since + wait).saturating_sub(node.now());
+        if left == 0 {
+            return true;
+        }
+        if wait != told {
+            tracing::info!("nobody leads: others stand first, for {wait} ms");
+            told = wait;
+        }
+        sleep(ms(left.min(400))).await;
+        if !matches!(node.store.get::<LeaderRecord>(LEADER).await, Ok(None)) {
+            return false;
+        }
+    }
+}
+
 /// Asks the cloud for the machine types and their prices, for this node's next term.
 async fn refresh_flavors(node: &Node) -> bool {
     match node.cloud.flavors().await {
@@ -134,6 +159,9 @@
         }
     }
     node.bump();
+    if [ticks::DEAF, ticks::OUTDONE].contains(&why) {
+        node.gave_way();
+    }
     tracing::info!("leading no more: term {term}, {why}");
     node.store.end_lease(lease).await;
 }
@@ -147,6 +175,7 @@
         let extended = node.store.extend(lease, ms(ttl / 3)).await;
         node.state_service(extended.as_ref().err());
         let failing = extended.is_err();
+        node.state_asked(sent, !failing);
         match extended {
             Ok(true) => node.state.lock().expect("lock").renewed = sent,
             Ok(false) => return "its lease has run out",
--- a/crates/controller/src/leadership/ticks.rs
+++ b/crates/controller/src/leadership/ticks.rs
@@ -14,6 +14,13 @@
     (report_ms * 5 / 4 + 1000).max(2500)
 }
 
+/// A leader that hears no peer, and that no worker answers, gives way after this long.
+const ASKED_MS: u64 = 2500;
+
+/// Why a leader gives way, or hands over.
+pub(super) const DEAF: &str = "neither workers nor peers are heard";
+pub(super) const OUTDONE: &str = "another controller reaches the workers, and this one none";
+
 /// How long workers may need to find a new leader.
 const FIND_MS: u64 = 4000;
 
@@ -28,6 +35,7 @@
     let mut heard = node.now() + FIND_MS;
     let mut peers = heard;
     let mut deaf = false;
+    let taken = heard - FIND_MS;
     let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
     loop {
         let now = node.now();
@@ -74,8 +82,16 @@
         if node.cluster.any_peer(now) {
             peers = now;
         }
+        // Workers that were asked in vain are better evidence than silence.
+        let alone = if beat.is_multiple_of(5) && node.asked_in_vain() { ASKED_MS } else { alone };
         if now > peers.max(heard) + alone {
-            return "neither workers nor peers are heard";
+            return DEAF;
+        }
+        if beat.is_multiple_of(5)
+            && let Some(to) = node.outdone(taken)
+        {
+            tracing::info!("handing over: {to} reaches the workers, this controller none");
+            return OUTDONE;
         }
         for d in direct {
             let node = node.clone();
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -3,6 +3,7 @@
 pub mod doors;
 pub mod lookups;
 pub mod questions;
+pub mod reach;
 pub mod reports;
 pub mod serve;
 pub mod standing;
@@ -41,8 +42,6 @@
     pub flavors: Option<Vec<WireFlavor>>,
     /// When this node could last reach a leader.
     pub reached: u64,
-    /// When a worker last reported at this node's own door.
-    pub worker: u64,
     /// Since when the state service gives this node no answers.
     pub no_state: Option<u64>,
     /// Keys of records that were asked for and can't be read.
@@ -67,6 +66,7 @@
     /// Requests refused for being too many, by what was bounded; for the metrics.
     pub refused: [AtomicU64; 3],
     doors: Mutex<Doors>,
+    pub(super) reached: reach::Lock,
 }
 
 /// What a request was refused for, as the metrics name it.
@@ -99,6 +99,7 @@
             lookups: Mutex::new(lookups),
             refused: Default::default(),
             doors: Mutex::default(),
+            reached: Mutex::default(),
         }
     }
 
--- /dev/null
+++ b/crates/controller/src/node/reach.rs
@@ -0,0 +1,229 @@
+//! What this controller reaches, measured, and what the others tell of it. The decisions are in
+//! `copperhaven-reach`; here they meet reports, probes and pongs.
+
+use crate::node::Node;
+use copperhaven_reach::Member;
+use copperhaven_reach::facts::{Facts, Known, Own};
+use copperhaven_reach::standing::{Standing, View};
+use copperhaven_reach::told;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Mutex;
+
+/// So many workers of each zone are remembered, to ask them when none is heard.
+const KNOWN: usize = 6;
+
+/// Reports are looked at this far apart for whom they come from.
+const LOOK_MS: u64 = 250;
+
+/// A controller that has just started may not have been heard of yet.
+const STARTED_MS: u64 = 5_000;
+
+#[derive(Default)]
+pub struct Reached {
+    own: Own,
+    known: Known,
+    standing: Standing,
+    zones: BTreeMap<String, u32>,
+    /// Addresses of workers by zone, the last heard last.
+    workers: BTreeMap<u32, VecDeque<String>>,
+    looked: u64,
+    /// What was last told in the log.
+    told: Option<Facts>,
+    /// Peers whose nonsense was told in the log.
+    nonsense: u16,
+}
+
+impl Reached {
+    fn zone(&mut self, name: &str) -> u32 {
+        let next = self.zones.len() as u32;
+        *self.zones.entry(name.into()).or_insert(next)
+    }
+
+    fn remember(&mut self, zone: u32, addr: &str) {
+        let list = self.workers.entry(zone).or_default();
+        list.retain(|a| a != addr);
+        list.push_back(addr.into());
+        if list.len() > KNOWN {
+            list.pop_front();
+        }
+    }
+}
+
+/// What of a report tells whom it comes from.
+#[derive(serde::Deserialize)]
+struct From {
+    addr: String,
+    yard: String,
+}
+
+/// A worker to be asked, and its zone.
+pub type Target = (u32, String);
+
+impl Node {
+    /// A worker reported at this node's own door: its zone is reached.
+    pub(super) fn heard_worker(&self, body: &[u8]) {
+        let now = self.now();
+        let mut r = self.reached.lock().expect("lock");
+        if now < r.looked + LOOK_MS {
+            return;
+        }
+        let Ok(from) = rmp_serde::from_slice::<From>(body) else { return };
+        if !self.settings.deployment.zones.contains(&from.yard) {
+            return;
+        }
+        r.looked = now;
+        let zone = r.zone(&from.yard);
+        r.own.zone(zone).answered(now, now);
+        r.remember(zone, &from.addr);
+    }
+
+    /// The state service answered a request sent then, or did not.
+    pub fn state_asked(&self, sent: u64, answered: bool) {
+        let mut r = self.reached.lock().expect("lock");
+        if answered {
+            r.own.state.answered(sent, self.now());
+        } else {
+            r.own.state.failed(sent);
+        }
+    }
+
+    /// A worker was asked, and answered or did not.
+    pub fn worker_asked(&self, zone: u32, sent: u64, answered: bool) {
+        let now = self.now();
+        let mut r = self.reached.lock().expect("lock");
+        let link = r.own.zone(zone);
+        if answered {
+            link.answered(sent, now);
+        } else {
+            link.failed(sent);
+        }
+    }
+
+    /// The workers to be asked now, one of each zone: none while any was heard for so long. `None`:
+    /// none is known at all.
+    pub fn to_ask(&self, silence_ms: u64) -> Option<Vec<Target>> {
+        let now = self.now();
+        let mut r = self.reached.lock().expect("lock");
+        if !r.own.silent(now, silence_ms) {
+            return Some(vec![]);
+        }
+        if r.workers.is_empty() {
+            return None;
+        }
+        let mut out = vec![];
+        for (zone, list) in &mut r.workers {
+            // One after the other: the last heard may be gone.
+            if let Some(addr) = list.pop_back() {
+                out.push((*zone, addr.clone()));
+                list.push_front(addr);
+            }
+        }
+        Some(out)
+    }
+
+    /// Workers that records tell of: address and zone.
+    pub fn know_workers<'a>(&self, all: impl Iterator<Item = (&'a str, &'a str)>) {
+        let mut r = self.reached.lock().expect("lock");
+        for (addr, zone) in all {
+            let zone = r.zone(zone);
+            r.remember(zone, addr);
+        }
+    }
+
+    /// What this node reaches, as it is told to others; changes are told in the log.
+    pub fn facts(&self) -> Facts {
+        let now = self.now();
+        let peers = self.cluster.reaches(now);
+        let mut r = self.reached.lock().expect("lock");
+        let facts = r.own.facts(peers, now);
+        let known = |f: &Facts| (f.state, f.workers.map(|w| w.div_ceil(50)), f.peers);
+        if r.told.is_none_or(|told| known(&told) != known(&facts)) {
+            let workers = facts.workers.map_or("unknown".into(), |w| format!("{w}% of zones"));
+            let peers: Vec<&str> = (0..self.cluster.members.len())
+                .filter(|m| facts.hears(Member(*m)))
+                .map(|m| self.cluster.members[m].as_str())
+                .collect();
+            let peers = if peers.is_empty() { "none".into() } else { peers.join(", ") };
+            tracing::info!(
+                "reaches: state service {:?}, workers {workers}, peers {peers}",
+                facts.state
+            );
+            r.told = Some(facts);
+        }
+        facts
+    }
+
+    /// The body of a pong: what this node reaches, and what it knows of others.
+    pub fn tell_facts(&self) -> Vec<u8> {
+        let own = (Member(self.cluster.me), self.facts(), 0);
+        let now = self.now();
+        let r = self.reached.lock().expect("lock");
+        let others = r.known.fresh(now).filter(|(m, ..)| m.0 != self.cluster.me);
+        told::write(std::iter::once(own).chain(others))
+    }
+
+    /// A peer told what it reaches and knows. Nonsense is dropped, and told once.
+    pub fn hear_facts(&self, peer: usize, body: &[u8]) {
+        let now = self.now();
+        let mut r = self.reached.lock().expect("lock");
+        match told::read(body, self.cluster.members.len()) {
+            Ok(all) => {
+                for (member, facts, age) in all.into_iter().filter(|(m, ..)| m.0 != self.cluster.me)
+                {
+                    r.known.tell(member, facts, age, now);
+                }
+            }
+            Err(e) => {
+                let bit = 1u16 << (peer & 15);
+                if r.nonsense & bit == 0 {
+                    r.nonsense |= bit;
+                    let member = self.cluster.members.get(peer).map_or("?", |m| m);
+                    tracing::warn!("{member} tells what can't be what it reaches: {e}; left out");
+                }
+            }
+        }
+    }
+
+    fn with_view<T>(&self, f: impl FnOnce(&mut Standing, &View) -> T) -> T {
+        let own = self.facts();
+        let now = self.now();
+        let mut r = self.reached.lock().expect("lock");
+        let Reached { known, standing, .. } = &mut *r;
+        let of = |m: Member| known.of(m, now);
+        let members = self.cluster.members.len();
+        f(standing, &View { me: Member(self.cluster.me), own, members, of: &of })
+    }
+
+    /// While nobody leads: how long to leave others the first try.
+    pub fn standing_wait(&self) -> u64 {
+        let now = self.now();
+        let wait = self.with_view(|s, view| s.wait_ms(view, now));
+        let started = now < STARTED_MS && !self.has_led();
+        if started { 0 } else { wait }
+    }
+
+    fn has_led(&self) -> bool {
+        self.state.lock().expect("lock").renewed > 0
+    }
+
+    /// It gave way, or handed over: others stand first for a while.
+    pub fn gave_way(&self) {
+        let now = self.now();
+        self.reached.lock().expect("lock").standing.gave_way(now);
+    }
+
+    /// As leader since `elected`: the name of a controller to hand over to.
+    pub fn outdone(&self, elected: u64) -> Option<&str> {
+        let now = self.now();
+        let to = self.with_view(|s, view| s.hand_over(view, elected, now))?;
+        self.cluster.members.get(to.0).map(String::as_str)
+    }
+
+    /// Were workers asked, and did none answer?
+    pub fn asked_in_vain(&self) -> bool {
+        self.facts().workers == Some(0)
+    }
+}
+
+/// For `Node`.
+pub type Lock = Mutex<Reached>;
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -47,6 +47,9 @@
                             node.cluster.tell_release(&link.member, view.release);
                         }
                         node.heard_peer(link.ix, view);
+                        if !body.is_empty() {
+                            node.hear_facts(link.ix, &body);
+                        }
                         continue;
                     }
                     let waiter = link.waiting.lock().expect("lock").remove(&h.id.get());
@@ -113,8 +116,9 @@
         {
             if h.kind == PING {
                 let reaches = node.cluster.reaches(node.now());
-                let pong = Header::pong(node.standing(), reaches);
-                if tx.send(pong.frame(&[])).await.is_err() {
+                let facts = node.tell_facts();
+                let pong = Header::pong(node.standing(), reaches, facts.len());
+                if tx.send(pong.frame(&facts)).await.is_err() {
                     break;
                 }
                 continue;
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -119,6 +119,25 @@
         }
     }
 
+    /// The first values with the prefix that can be read.
+    pub async fn some<T: DeserializeOwned>(
+        &self,
+        prefix: &str,
+        limit: usize,
+    ) -> Result<Vec<T>, StoreError> {
+        let path = format!("/store?prefix={prefix}&limit={limit}");
+        let answer = self.http.get(&self.addr, &path, READ).await?;
+        if answer.status != 200 {
+            return Err(StoreError::Status(answer.status));
+        }
+        let page = Page::read(&answer.body).ok_or(StoreError::Malformed)?;
+        let good = |i: Item<Lenient<T>>| match i.v {
+            Lenient::Good(v) => Some(v),
+            Lenient::Bad(_) => None,
+        };
+        Ok(page.pairs.into_iter().filter_map(good).collect())
+    }
+
     /// Every key with the prefix. One that can't be read keeps none of the others from being read.
     pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<Listing<T>, StoreError> {
         let mut out = Listing { rows: vec![], bad: vec![] };
