--- a/crates/controller/src/node/reach.rs
+++ b/crates/controller/src/node/reach.rs
@@ -12,6 +12,9 @@
 /// So many workers of each zone are remembered, to ask them when none is heard.
 const KNOWN: usize = 6;
 
+/// A worker that was not heard of for so long is not asked any more: records are read instead.
+const FORGET_MS: u64 = 30_000;
+
 /// Reports are looked at this far apart for whom they come from.
 const LOOK_MS: u64 = 250;
 
@@ -24,8 +27,8 @@
     known: Known,
     standing: Standing,
     zones: BTreeMap<String, u32>,
-    /// Addresses of workers by zone, the last heard last.
-    workers: BTreeMap<u32, VecDeque<String>>,
+    /// Addresses of workers by zone, and when each was last heard of; the last heard last.
+    workers: BTreeMap<u32, VecDeque<(String, u64)>>,
     looked: u64,
     /// What was last told in the log.
     told: Option<Facts>,
@@ -39,10 +42,10 @@
         *self.zones.entry(name.into()).or_insert(next)
     }
 
-    fn remember(&mut self, zone: u32, addr: &str) {
+    fn remember(&mut self, zone: u32, addr: &str, now: u64) {
         let list = self.workers.entry(zone).or_default();
-        list.retain(|a| a != addr);
-        list.push_back(addr.into());
+        list.retain(|(a, _)| a != addr);
+        list.push_back((addr.into(), now));
         if list.len() > KNOWN {
             list.pop_front();
         }
@@ -74,7 +77,7 @@
         r.looked = now;
         let zone = r.zone(&from.yard);
         r.own.zone(zone).answered(now, now);
-        r.remember(zone, &from.addr);
+        r.remember(zone, &from.addr, now);
     }
 
     /// The state service answered a request sent then, or did not.
@@ -107,27 +110,33 @@
         if !r.own.silent(now, silence_ms) {
             return Some(vec![]);
         }
+        // Who was not heard of for long may be gone, and would be asked in vain for ever.
+        r.workers.values_mut().for_each(|list| list.retain(|(_, at)| now < at + FORGET_MS));
+        r.workers.retain(|_, list| !list.is_empty());
         if r.workers.is_empty() {
             return None;
         }
         let mut out = vec![];
         for (zone, list) in &mut r.workers {
             // One after the other: the last heard may be gone.
-            if let Some(addr) = list.pop_back() {
+            if let Some((addr, at)) = list.pop_back() {
                 out.push((*zone, addr.clone()));
-                list.push_front(addr);
+                list.push_front((addr, at));
             }
         }
         Some(out)
     }
 
-    /// Workers that records tell of: address and zone.
+    /// Workers that records tell of: address and zone. Zones without any have nobody to be reached.
     pub fn know_workers<'a>(&self, all: impl Iterator<Item = (&'a str, &'a str)>) {
+        let now = self.now();
         let mut r = self.reached.lock().expect("lock");
         for (addr, zone) in all {
             let zone = r.zone(zone);
-            r.remember(zone, addr);
+            r.remember(zone, addr, now);
         }
+        let Reached { own, workers, .. } = &mut *r;
+        own.only_zones(|zone| workers.contains_key(&zone));
     }
 
     /// What this node reaches, as it is told to others; changes are told in the log.
--- a/crates/reach/src/facts.rs
+++ b/crates/reach/src/facts.rs
@@ -62,6 +62,11 @@
         self.zones.iter().map(|(z, l)| (*z, l))
     }
 
+    /// Zones without workers are none that can be reached, or not.
+    pub fn only_zones(&mut self, keep: impl Fn(u32) -> bool) {
+        self.zones.retain(|zone, _| keep(*zone));
+    }
+
     /// Does any zone's silence have to be looked into? True where none was heard or asked lately.
     pub fn silent(&self, now: u64, ms: u64) -> bool {
         !self.zones.values().any(|l| l.last().is_some_and(|at| now < at + ms))
