--- a/crates/controller/src/cloud.rs
+++ b/crates/controller/src/cloud.rs
@@ -1,6 +1,7 @@
 //! The cloud by its protocol.
 
 use crate::http::{CallError, Client};
+use crate::net::Net;
 use copperhaven_core::records::RentalRecord;
 use copperhaven_wire::cloud::{Host, WireFlavor};
 use serde::{Deserialize, Serialize};
@@ -15,8 +16,8 @@
 const LIMIT: Duration = Duration::from_millis(3000);
 
 impl Cloud {
-    pub fn new(addr: String) -> Cloud {
-        Cloud { http: Client::new(2), addr }
+    pub fn new(net: Net, addr: String) -> Cloud {
+        Cloud { http: Client::within(net, 2), addr }
     }
 
     pub async fn flavors(&self) -> Option<Vec<WireFlavor>> {
--- a/crates/controller/src/http.rs
+++ b/crates/controller/src/http.rs
@@ -1,6 +1,7 @@
 //! A small HTTP/1.1 client for MessagePack bodies: a few kept connections for each address, a
 //! time limit on every call, and a bound on what an answer may hold.
 
+use crate::net::Net;
 use bytes::Bytes;
 use copperhaven_wire::encode;
 use http_body_util::{BodyExt, Full, Limited};
@@ -12,7 +13,6 @@
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
 /// Why a call got no answer. `Refused` is certain not to have been executed; `Lost` may have
@@ -51,11 +51,17 @@
 pub struct Client {
     idle: Mutex<HashMap<String, Vec<(Conn, Instant)>>>,
     per_host: usize,
+    net: Net,
 }
 
 impl Client {
     pub fn new(per_host: usize) -> Self {
-        Client { idle: Mutex::default(), per_host }
+        Client::within(Net::Tcp, per_host)
+    }
+
+    /// A client whose connections are made in this network.
+    pub fn within(net: Net, per_host: usize) -> Self {
+        Client { idle: Mutex::default(), per_host, net }
     }
 
     fn pooled(&self, addr: &str) -> Option<Conn> {
@@ -82,10 +88,8 @@
         }
     }
 
-    async fn connect(addr: &str) -> Result<Conn, CallError> {
-        let stream =
-            TcpStream::connect(addr).await.map_err(|e| CallError::Refused(e.to_string()))?;
-        let _ = stream.set_nodelay(true);
+    async fn connect(&self, addr: &str) -> Result<Conn, CallError> {
+        let stream = self.net.connect(addr).await.map_err(|e| CallError::Refused(e.to_string()))?;
         let (conn, driver) =
             handshake(TokioIo::new(stream)).await.map_err(|e| CallError::Refused(e.to_string()))?;
         tokio::spawn(async move {
@@ -106,7 +110,7 @@
         let end = Instant::now() + limit;
         let mut conn = match self.pooled(addr) {
             Some(conn) => conn,
-            None => match timeout(limit, Self::connect(addr)).await {
+            None => match timeout(limit, self.connect(addr)).await {
                 Ok(conn) => conn?,
                 Err(_) => return Err(CallError::Refused("connecting timed out".into())),
             },
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod leadership;
 pub mod listen;
 pub mod metrics;
+pub mod net;
 pub mod node;
 pub mod peers;
 pub mod reply;
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -15,6 +15,7 @@
 use crate::cloud::Cloud;
 use crate::cluster::Cluster;
 use crate::http::Client;
+use crate::net::Net;
 use crate::node::doors::Doors;
 use crate::store::Store;
 use copperhaven_core::pace::Pace;
@@ -49,6 +50,7 @@
 }
 
 pub struct Node {
+    pub net: Net,
     pub settings: Arc<Settings>,
     start: Instant,
     pub cluster: Cluster,
@@ -82,13 +84,19 @@
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
+        Node::within(Net::Tcp, settings)
+    }
+
+    /// A controller whose connections are made in this network.
+    pub fn within(net: Net, settings: Settings) -> Node {
         let share = settings.deployment.state.rps() * LOOKUPS;
         let lookups = Pace::new(share / (settings.members.len() + 1) as f64, 0);
         Node {
             cluster: Cluster::new(&settings),
-            store: Store::new(settings.endpoints.state.clone()),
-            cloud: Cloud::new(settings.endpoints.cloud.clone()),
-            workers: Client::new(1),
+            store: Store::new(net.clone(), settings.endpoints.state.clone()),
+            cloud: Cloud::new(net.clone(), settings.endpoints.cloud.clone()),
+            workers: Client::within(net.clone(), 1),
+            net,
             settings: Arc::new(settings),
             start: Instant::now(),
             state: Mutex::default(),
--- a/crates/controller/src/node/standing.rs
+++ b/crates/controller/src/node/standing.rs
@@ -26,6 +26,11 @@
         if report { self.holding(&state, now) } else { self.authority(&state, now) }
     }
 
+    /// Does it lead, with authority?
+    pub fn leads(&self) -> bool {
+        self.leading(false)
+    }
+
     pub(super) fn leader(&self) -> Option<usize> {
         self.state.lock().expect("lock").leader.map(|(_, ix)| ix)
     }
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -8,8 +8,7 @@
 use crate::reply::Reply;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::timeout;
 use zerocopy::byteorder::little_endian::U16;
@@ -18,10 +17,9 @@
 async fn keep_link(node: Arc<Node>, link: Arc<Link>) {
     loop {
         if let Ok(Ok(stream)) =
-            timeout(Duration::from_millis(1000), TcpStream::connect(&link.addr)).await
+            timeout(Duration::from_millis(1000), node.net.connect(&link.addr)).await
         {
-            let _ = stream.set_nodelay(true);
-            let (mut read, mut write) = stream.into_split();
+            let (mut read, mut write) = tokio::io::split(stream);
             let (tx, mut rx) = mpsc::channel::<Vec<u8>>(IN_FLIGHT);
             *link.queue.lock().expect("lock") = Some(tx.clone());
             let reader = async {
@@ -87,9 +85,9 @@
     }
 }
 
-async fn serve_peer(node: Arc<Node>, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let (mut read, mut write) = stream.into_split();
+/// Answers on one connection of a peer, or of somebody who wants the metrics.
+pub async fn serve_peer(node: Arc<Node>, stream: impl AsyncRead + AsyncWrite + Unpin) {
+    let (mut read, mut write) = tokio::io::split(stream);
     // Peers speak frames; whoever begins with an HTTP request wants the metrics.
     let mut first = [0u8; 4];
     if !matches!(timeout(Duration::from_secs(10), read.read_exact(&mut first)).await, Ok(Ok(_))) {
@@ -139,11 +137,16 @@
     tokio::select! { _ = reader => {}, _ = writer => {} }
 }
 
-pub async fn run(node: Arc<Node>) -> Result<(), ListenError> {
-    let listener = listen(&node.settings.cluster_listen, "cluster_listen", PATIENCE).await?;
+/// Keeps a link to every other controller.
+pub fn keep_links(node: &Arc<Node>) {
     for link in &node.cluster.links {
         tokio::spawn(keep_link(node.clone(), link.clone()));
     }
+}
+
+pub async fn run(node: Arc<Node>) -> Result<(), ListenError> {
+    let listener = listen(&node.settings.cluster_listen, "cluster_listen", PATIENCE).await?;
+    keep_links(&node);
     let most = Arc::new(Semaphore::new(32));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -151,6 +154,7 @@
             continue;
         };
         let Ok(slot) = most.clone().try_acquire_owned() else { continue };
+        let _ = stream.set_nodelay(true);
         let node = node.clone();
         tokio::spawn(async move {
             serve_peer(node, stream).await;
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -1,6 +1,7 @@
 //! The state service by its protocol: reads, transactions, leases.
 
 use crate::http::{Answer, CallError, Client};
+use crate::net::Net;
 use copperhaven_core::records::{Change, Cond};
 use copperhaven_wire::encode;
 use hyper::Method;
@@ -92,8 +93,8 @@
 const COMMIT: Duration = Duration::from_millis(1500);
 
 impl Store {
-    pub fn new(addr: String) -> Store {
-        Store { http: Client::new(6), addr }
+    pub fn new(net: Net, addr: String) -> Store {
+        Store { http: Client::within(net, 6), addr }
     }
 
     fn decode<T: DeserializeOwned>(answer: &Answer) -> Result<T, StoreError> {
--- /dev/null
+++ b/crates/controller/tests/world/main.rs
@@ -0,0 +1,288 @@
+//! Several real controllers in one process, on a paused clock: their code from `Node` and `leadership` to links
+//! between peers; state service, cloud, workers and users as stand-ins by the protocol; and a network whose
+//! links are cut one by one, in each direction, in each mode. The rules are counted at the workers and users.
+//!
+//! Left out: the doors' HTTP (users and workers ask a node as its front does), images and gangs, which the
+//! random schedules of the core play. What is measured is printed with `--nocapture`.
+
+mod network;
+mod schedules;
+mod services;
+mod workers;
+
+use copperhaven::cluster::frames::Op;
+use copperhaven::leadership;
+use copperhaven::node::Node;
+use copperhaven::peers;
+use copperhaven_core::settings::Settings;
+use copperhaven_wire::encode;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape, Shown};
+use network::{Host, Mode, Network};
+use services::{CLOUD, STATE, Store};
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+use workers::{Checker, Worker};
+
+pub struct World {
+    pub net: Arc<Network>,
+    pub settings: Settings,
+    pub names: Vec<String>,
+    pub zones: Vec<&'static str>,
+    pub store: Arc<Mutex<Store>>,
+    nodes: Mutex<Vec<Arc<Node>>>,
+    pub checker: Mutex<Checker>,
+    users: Mutex<Users>,
+}
+
+/// What users met.
+#[derive(Default)]
+struct Users {
+    accepted: BTreeMap<String, Duration>,
+    refused: usize,
+    waiting: BTreeMap<String, Instant>,
+    worst: Duration,
+}
+
+impl Users {
+    fn answered(&mut self, uid: &str, begun: Instant, taken: bool) {
+        self.refused += usize::from(!taken);
+        if taken {
+            let took = begun.elapsed();
+            self.waiting.remove(uid);
+            self.worst = self.worst.max(took);
+            self.accepted.insert(uid.into(), took);
+        }
+    }
+}
+
+/// What a schedule came to.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Tasks killed by leases, and started.
+    pub killed: usize,
+    pub started: usize,
+    /// The longest that a submission took, and answers that turned one away.
+    pub worst: Duration,
+    pub refused: usize,
+    /// Time in which nobody led, from the first leader on, and how often the leader changed.
+    pub leaderless: Duration,
+    pub changes: usize,
+}
+
+fn settings(controllers: usize, me: usize, zones: &[&str]) -> Settings {
+    use std::fmt::Write;
+    let mut text = format!(
+        "member = \"c-{me}\"\nzone = \"{}\"\nfront = \"\"\ncluster_listen = \"\"\n",
+        zones[me % zones.len()]
+    );
+    for other in (0..controllers).filter(|o| *o != me) {
+        let zone = zones[other % zones.len()];
+        let _ = write!(
+            text,
+            "[[members]]\nmember = \"c-{other}\"\nzone = \"{zone}\"\nendpoint = \"peer:{other}\"\n"
+        );
+    }
+    let _ = write!(
+        text,
+        "[endpoints]\ncloud = \"{CLOUD}\"\nstate = \"{STATE}\"\n[deployment]\nzones = {zones:?}\nteams = [{{ name = \"red\", cpus = 400.0, cpus_max = 800.0 }}]\n[deployment.workers]\nreport_s = 2.0\nlease_s = 14.0\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = 35.0\n[deployment.state]\nrps = 900.0\nwrite_rps = 250.0\nvalue_kb = 8.0\ntxn_ops = 32\n[deployment.cloud]\nrps = 5.0\nlist_lag_s = 5.0\n[deployment.limits]\nmax_connections = 1000\n"
+    );
+    toml::from_str(&text).expect("settings")
+}
+
+impl World {
+    pub fn count(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn node(&self, ix: usize) -> Arc<Node> {
+        self.nodes.lock().expect("lock")[ix].clone()
+    }
+
+    /// A world of so many controllers and workers, everything up, and users who submit.
+    pub async fn start(controllers: usize, machines: usize, seed: u64) -> Arc<World> {
+        let zones = vec!["north", "south", "west"];
+        let net = Arc::new(Network::default());
+        let all: Vec<Arc<Mutex<Worker>>> =
+            (0..machines).map(|n| Arc::new(Mutex::new(Worker::new(n, n % 3)))).collect();
+        let store = services::open(&net, &zones, vec![]);
+        let nodes: Vec<Arc<Node>> = (0..controllers)
+            .map(|ix| {
+                let settings = settings(controllers, ix, &zones);
+                Arc::new(Node::within(net.at(Host::Controller(ix)), settings))
+            })
+            .collect();
+        let world = Arc::new(World {
+            settings: settings(controllers, 0, &zones),
+            names: (0..controllers).map(|ix| format!("c-{ix}")).collect(),
+            zones,
+            store,
+            nodes: Mutex::new(nodes.clone()),
+            checker: Mutex::default(),
+            users: Mutex::default(),
+            net,
+        });
+        for (ix, node) in nodes.into_iter().enumerate() {
+            world.open_peer(ix);
+            peers::keep_links(&node);
+            tokio::spawn(leadership::run(node));
+        }
+        for (n, worker) in all.iter().enumerate() {
+            workers::open(&world, worker);
+            tokio::spawn(workers::run(world.clone(), worker.clone(), seed * 1000 + n as u64));
+        }
+        tokio::spawn(users(world.clone()));
+        world
+    }
+
+    fn open_peer(self: &Arc<Self>, ix: usize) {
+        let world = self.clone();
+        let accept = move |io| {
+            tokio::spawn(peers::serve_peer(world.node(ix), io));
+        };
+        self.net.open(&format!("peer:{ix}"), Host::Controller(ix), Arc::new(accept));
+    }
+
+    /// Who leads, by its own word and with authority as users see it: at most one answers.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.count()).filter(|ix| self.node(*ix).leads()).last()
+    }
+
+    /// Watches for so long; what came of it is added up.
+    pub async fn watch(&self, time: Duration, out: &mut Outcome) {
+        let end = Instant::now() + time;
+        let mut last = self.leader();
+        while Instant::now() < end {
+            sleep(Duration::from_millis(50)).await;
+            let leads: Vec<usize> = (0..self.count()).filter(|ix| self.node(*ix).leads()).collect();
+            assert!(leads.len() <= 1, "two with authority: {leads:?}");
+            match leads.first() {
+                None => out.leaderless += Duration::from_millis(50),
+                Some(ix) => {
+                    out.changes += usize::from(last.is_some_and(|l| l != *ix));
+                    last = Some(*ix);
+                }
+            }
+        }
+    }
+
+    /// What was counted since the start.
+    pub fn sum(&self, out: &mut Outcome) {
+        let checker = self.checker.lock().expect("lock");
+        let users = self.users.lock().expect("lock");
+        (out.killed, out.started) = (checker.killed, checker.started);
+        (out.worst, out.refused) = (users.worst, users.refused);
+        let open = users.waiting.values().map(Instant::elapsed).max().unwrap_or_default();
+        out.worst = out.worst.max(open);
+    }
+
+    /// Measures submissions from here on.
+    pub fn begin(&self) {
+        let mut users = self.users.lock().expect("lock");
+        (users.worst, users.refused) = (Duration::ZERO, 0);
+        self.checker.lock().expect("lock").killed = 0;
+    }
+
+    /// In the end all links are whole: every accepted job is known, done by the workers' own count
+    /// before anybody calls it so, and none is lost.
+    pub async fn settle(&self) {
+        sleep(Duration::from_secs(60)).await;
+        let accepted: Vec<String> =
+            self.users.lock().expect("lock").accepted.keys().cloned().collect();
+        let mut unfinished = 0;
+        for uid in &accepted {
+            let reply = self.node(0).ask(Op::Show, uid.as_bytes()).await;
+            assert_ne!(reply.status, 404, "forgotten: {uid}");
+            let shown = rmp_serde::from_slice::<Shown>(&reply.body).expect("a job");
+            let done = self.checker.lock().expect("lock").done.get(uid).copied().unwrap_or(0);
+            match shown.status.as_str() {
+                "done" => assert_eq!(done, TASKS, "not_done: {uid}"),
+                // Those of the last seconds.
+                _ => unfinished += 1,
+            }
+        }
+        assert!(accepted.len() > 40, "{} accepted", accepted.len());
+        assert!(unfinished * 3 < accepted.len(), "{unfinished} of {} not done", accepted.len());
+        let none = self.node(0).ask(Op::Show, b"wk-999999999").await;
+        assert_eq!(none.status, 404, "invented");
+    }
+}
+
+const TASKS: u32 = 6;
+
+/// Users submit a job every 700 ms through a balancer that sends them to controllers that are up, and repeat
+/// every second what is not accepted.
+async fn users(world: Arc<World>) {
+    let mut n = 0u64;
+    loop {
+        sleep(Duration::from_millis(700)).await;
+        n += 1;
+        let uid = format!("wk-{n:06}");
+        world.users.lock().expect("lock").waiting.insert(uid.clone(), Instant::now());
+        tokio::spawn(submit(world.clone(), uid, n as usize));
+    }
+}
+
+async fn submit(world: Arc<World>, uid: String, n: usize) {
+    let body = encode(&JobBody {
+        uid: uid.clone(),
+        lot: "c".into(),
+        owner: "red".into(),
+        shape: Shape::Array,
+        precedence: Precedence::Low,
+        parcels: TASKS.into(),
+        cpus: 1.0,
+        cards: 0.0,
+        mem_gb: 1.0,
+        cargo: "i".into(),
+        pull_gb: 0.1,
+        berths: None,
+        yard: None,
+        together: false,
+        spread: false,
+        loaners: true,
+        expected_s: 8.0,
+        stamp_every_s: 0.0,
+        stamp_s: 0.0,
+        due_s: None,
+        awaits: None,
+    });
+    let begun = Instant::now();
+    for attempt in 0..60 {
+        let up: Vec<usize> = (0..world.count()).filter(|ix| world.node(*ix).up()).collect();
+        let to = if up.is_empty() {
+            (n + attempt) % world.count()
+        } else {
+            up[(n + attempt) % up.len()]
+        };
+        let exchange = async {
+            if !world.net.pass(Host::Users, Host::Controller(to)).await {
+                return None;
+            }
+            let reply = world.node(to).ask(Op::Submit, &body).await;
+            world.net.pass(Host::Controller(to), Host::Users).await.then_some(reply)
+        };
+        let reply = timeout(Duration::from_secs(5), exchange).await.ok().flatten();
+        let taken = reply.is_some_and(|r| r.status == 200 || r.status == 201);
+        world.users.lock().expect("lock").answered(&uid, begun, taken);
+        if taken {
+            return;
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+    panic!("{uid} was turned away for a minute");
+}
+
+/// Runs a future on a paused clock.
+pub fn run<F: Future>(f: F) -> F::Output {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("runtime").block_on(f)
+}
+
+/// For schedules.
+pub fn both(net: &Network, a: Host, b: Host, mode: Option<Mode>) {
+    net.cut(a, b, mode);
+    net.cut(b, a, mode);
+}
--- /dev/null
+++ b/crates/controller/tests/world/network.rs
@@ -0,0 +1,135 @@
+//! A network between hosts in one process: each link, in each direction, can be cut in its own way.
+
+use copperhaven::net::{Dial, Dialing, Net};
+use std::collections::BTreeMap;
+use std::io::{Error, ErrorKind};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, duplex};
+use tokio::time::sleep;
+
+/// Where something runs. Workers of a zone share their links.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Host {
+    Controller(usize),
+    State,
+    Cloud,
+    Workers(usize),
+    Users,
+}
+
+/// What a link does in one direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mode {
+    /// What is sent arrives when the link is whole again.
+    Hold,
+    /// Connections are refused, open ones end.
+    Refuse,
+    /// What is sent arrives so many milliseconds late.
+    Slow(u64),
+}
+
+const LATENCY: Duration = Duration::from_millis(1);
+const LOOK: Duration = Duration::from_millis(20);
+
+type Accept = Arc<dyn Fn(DuplexStream) + Send + Sync>;
+
+#[derive(Default)]
+pub struct Network {
+    cuts: Mutex<BTreeMap<(Host, Host), Mode>>,
+    /// Who answers at an address.
+    doors: Mutex<BTreeMap<String, (Host, Accept)>>,
+}
+
+impl Network {
+    pub fn cut(&self, from: Host, to: Host, mode: Option<Mode>) {
+        let mut cuts = self.cuts.lock().expect("lock");
+        match mode {
+            Some(mode) => cuts.insert((from, to), mode),
+            None => cuts.remove(&(from, to)),
+        };
+    }
+
+    pub fn mode(&self, from: Host, to: Host) -> Option<Mode> {
+        self.cuts.lock().expect("lock").get(&(from, to)).copied()
+    }
+
+    pub fn open(&self, addr: &str, host: Host, accept: Accept) {
+        self.doors.lock().expect("lock").insert(addr.into(), (host, accept));
+    }
+
+    /// Something is on its way: returns once it has arrived. False: refused.
+    pub async fn pass(&self, from: Host, to: Host) -> bool {
+        sleep(LATENCY).await;
+        loop {
+            match self.mode(from, to) {
+                None => return true,
+                Some(Mode::Refuse) => return false,
+                Some(Mode::Slow(ms)) => {
+                    sleep(Duration::from_millis(ms)).await;
+                    return true;
+                }
+                Some(Mode::Hold) => sleep(LOOK).await,
+            }
+        }
+    }
+
+    /// The network as this host sees it.
+    pub fn at(self: &Arc<Self>, host: Host) -> Net {
+        Net::Other(Arc::new(Seen { net: self.clone(), host }))
+    }
+
+    async fn pump(
+        self: Arc<Self>,
+        (from, to): (Host, Host),
+        mut read: ReadHalf<DuplexStream>,
+        mut write: WriteHalf<DuplexStream>,
+    ) {
+        let mut buffer = vec![0; 32 << 10];
+        loop {
+            let n = tokio::select! {
+                n = read.read(&mut buffer) => n.unwrap_or(0),
+                () = self.refused(from, to) => 0,
+            };
+            // The end of a connection is held like anything else.
+            let arrived = self.pass(from, to).await;
+            if n == 0 || !arrived || write.write_all(&buffer[..n]).await.is_err() {
+                let _ = write.shutdown().await;
+                return;
+            }
+        }
+    }
+
+    async fn refused(&self, from: Host, to: Host) {
+        while self.mode(from, to) != Some(Mode::Refuse) {
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+}
+
+struct Seen {
+    net: Arc<Network>,
+    host: Host,
+}
+
+impl Dial for Seen {
+    fn dial(&self, addr: &str) -> Dialing {
+        let (net, from, addr) = (self.net.clone(), self.host, addr.to_string());
+        Box::pin(async move {
+            let refused = || Error::from(ErrorKind::ConnectionRefused);
+            let door = net.doors.lock().expect("lock").get(&addr).cloned();
+            let (to, accept) = door.ok_or_else(refused)?;
+            // There and back, before anything can be sent.
+            if !net.pass(from, to).await || !net.pass(to, from).await {
+                return Err(refused());
+            }
+            let (near, a) = duplex(64 << 10);
+            let (b, far) = duplex(64 << 10);
+            let ((ra, wa), (rb, wb)) = (tokio::io::split(a), tokio::io::split(b));
+            tokio::spawn(net.clone().pump((from, to), ra, wb));
+            tokio::spawn(net.pump((to, from), rb, wa));
+            accept(far);
+            Ok(near)
+        })
+    }
+}
