--- a/crates/controller/tests/world/schedules.rs
+++ b/crates/controller/tests/world/schedules.rs
@@ -81,8 +81,8 @@
     out
 }
 
-use Side::*;
 use Mode::*;
+use Side::*;
 use Who::*;
 
 /// (what, cuts, seconds that a submission may take, changes of the leader, seconds without one)
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -29,10 +29,11 @@
     fn urgency(&self) -> u8 {
         match self {
             Key::Links(..) | Key::Job(_) => 0,
-            Key::Rental(_) => 1,
+            // A put every ten seconds, of which a successor goes on.
+            Key::Rental(_) | Key::Service(_) => 1,
             Key::Machine(_) => 2,
             Key::Done(..) => Key::RANGES,
-            Key::Drop(_) | Key::Service(_) => Key::LAST,
+            Key::Drop(_) => Key::LAST,
         }
     }
 }
--- a/crates/fairness/src/ledger.rs
+++ b/crates/fairness/src/ledger.rs
@@ -98,7 +98,7 @@
 
 /// A job that is open for longer than this part of its aim counts as neglected: early enough that it
 /// can still be in time.
-pub const NEGLECTED: f64 = 0.5;
+pub const NEGLECTED: f64 = 0.75;
 
 /// Longer than a thousand times its aim counts as that.
 const MOST_SLOW: u64 = 100_000;
--- a/crates/fairness/src/need.rs
+++ b/crates/fairness/src/need.rs
@@ -13,7 +13,7 @@
 use std::collections::BTreeMap;
 
 /// Whoever is served less than this part of what should have been done by now is in need.
-pub const FLOOR: f64 = 0.8;
+pub const FLOOR: f64 = 0.6;
 
 /// Needs are told apart in steps of this much of a share, so that two that are served alike don't
 /// overtake each other with every job that is done.
