--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -250,9 +250,15 @@
             };
             for task in from_ranges(&on.r) {
                 let job = &cell.jobs[&id];
-                if task < job.spec.tasks && !job.done.contains(task) {
+                if task < job.spec.tasks {
                     let mut e = Entry::new(on.t, 0, now);
                     e.inherited = true;
+                    // Done by one record, and listed by another: mostly it has exited since. But an
+                    // earlier leader that could not read the first has started it again, and so it
+                    // may be there, and counts, until it is proven not to be.
+                    if job.done.contains(task) {
+                        e.stop = Some((now, 0.0));
+                    }
                     cell.attach(mid, id, task, e);
                     if let Some(job) = cell.jobs.get_mut(&id) {
                         job.attempt = job.attempt.max(on.t);
--- a/crates/core/src/takeover/tests.rs
+++ b/crates/core/src/takeover/tests.rs
@@ -294,3 +294,23 @@
     c.end_unreadable("wk-2");
     assert!(c.show("wk-2").is_some());
 }
+
+#[test]
+fn what_is_done_by_one_record_and_listed_by_another_counts_until_it_is_proven_gone() {
+    // Found by a random schedule (`quota`): a leader that could not read which tasks are done had started
+    // one again; the next one could, left it off the machine's list, and gave its CPUs to others.
+    let jobs = vec![job("wk-1", |b| (b.parcels, b.cpus) = (2, 4.0))];
+    let done = vec![("d/wk-1/0".to_string(), DoneRecord { r: vec![0, 1] }, 4)];
+    let machines = vec![machine("n-1", "small", &[("wk-1", 5, 0)])];
+    let mut c = taken_over(Records { jobs, done, machines, ..Records::default() });
+    let red = c.names.teams.get("red").expect("known");
+    assert_eq!(c.teams.usage(red).cpus, 4.0);
+    // It is there: it is halted, and goes on counting.
+    let orders = exchange(&mut c, &report(1, 1, TERM, &[("wk-1/0", 5, "running")]), T0 + 10);
+    assert!(halted(&orders, "wk-1/0"));
+    assert_eq!(c.teams.usage(red).cpus, 4.0);
+    // It is gone: its place is free for the other task, and it is not started again.
+    let orders = exchange(&mut c, &report(1, 2, TERM, &[]), T0 + 20);
+    assert_eq!(started(&orders), ["wk-1/1"]);
+    assert_eq!(c.jobs[&c.jobs.id("wk-1").expect("open")].done.len(), 1);
+}
--- a/crates/reach/tests/reach.rs
+++ b/crates/reach/tests/reach.rs
@@ -6,6 +6,7 @@
 use copperhaven_reach::standing::{DAMP_MS, MOST_WAIT_MS, STEADY_MS, Standing, View};
 use copperhaven_reach::told::{Nonsense, read, write};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 #[test]
 fn what_a_link_says() {
@@ -204,7 +205,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, rng_seed: RngSeed::Fixed(24), ..Default::default() })]
 
     /// Whatever everybody believes, one of those that reach the state service stands within the bound,
     /// and where one is whole and has not given way, it stands before all that are alone.
