--- a/crates/controller/src/leadership/ticks.rs
+++ b/crates/controller/src/leadership/ticks.rs
@@ -14,9 +14,20 @@
     (report_ms * 5 / 4 + 1000).max(2500)
 }
 
+/// A leader that hears no peer, and that no worker answers, gives way after this long.
+const ASKED_MS: u64 = 2500;
+
+/// Why a leader gives way, or hands over.
+pub(super) const DEAF: &str = "neither workers nor peers are heard";
+pub(super) const OUTDONE: &str = "another controller reaches the workers, and this one none";
+
 /// How long workers may need to find a new leader.
 const FIND_MS: u64 = 4000;
 
+/// How often it is recorded, and told in the log, what was served to whom: in beats of 100 ms.
+const RECORD_BEATS: u64 = 100;
+const LINE_BEATS: u64 = 600;
+
 /// What time brings: leases that run out, pauses that end, orders to send.
 pub(super) async fn ticks(node: &Arc<Node>, term: u64) -> &'static str {
     let mut beat = 0u64;
@@ -24,6 +35,7 @@
     let mut heard = node.now() + FIND_MS;
     let mut peers = heard;
     let mut deaf = false;
+    let taken = heard - FIND_MS;
     let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
     loop {
         let now = node.now();
@@ -38,6 +50,15 @@
                 c.spot_slow(now);
                 c.judge(now);
             }
+            if beat.is_multiple_of(RECORD_BEATS) {
+                c.record_service();
+            }
+            if beat.is_multiple_of(LINE_BEATS) {
+                let line = c.service_line(now);
+                if !line.is_empty() {
+                    tracing::info!("served of late: {line}");
+                }
+            }
             // With no machines there is nobody to be heard.
             let report = c.machines.values().map(|m| m.heard).max().unwrap_or(now);
             (std::mem::take(&mut c.direct), report, c.machines.len())
@@ -61,8 +82,16 @@
         if node.cluster.any_peer(now) {
             peers = now;
         }
+        // Workers that were asked in vain are better evidence than silence.
+        let alone = if beat.is_multiple_of(5) && node.asked_in_vain() { ASKED_MS } else { alone };
         if now > peers.max(heard) + alone {
-            return "neither workers nor peers are heard";
+            return DEAF;
+        }
+        if beat.is_multiple_of(5)
+            && let Some(to) = node.outdone(taken)
+        {
+            tracing::info!("handing over: {to} reaches the workers, this controller none");
+            return OUTDONE;
         }
         for d in direct {
             let node = node.clone();
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -3,6 +3,7 @@
 pub mod doors;
 pub mod lookups;
 pub mod questions;
+pub mod reach;
 pub mod reports;
 pub mod serve;
 pub mod standing;
@@ -14,6 +15,7 @@
 use crate::cloud::Cloud;
 use crate::cluster::Cluster;
 use crate::http::Client;
+use crate::net::Net;
 use crate::node::doors::Doors;
 use crate::store::Store;
 use copperhaven_core::pace::Pace;
@@ -41,8 +43,6 @@
     pub flavors: Option<Vec<WireFlavor>>,
     /// When this node could last reach a leader.
     pub reached: u64,
-    /// When a worker last reported at this node's own door.
-    pub worker: u64,
     /// Since when the state service gives this node no answers.
     pub no_state: Option<u64>,
     /// Keys of records that were asked for and can't be read.
@@ -50,6 +50,7 @@
 }
 
 pub struct Node {
+    pub net: Net,
     pub settings: Arc<Settings>,
     start: Instant,
     pub cluster: Cluster,
@@ -67,6 +68,7 @@
     /// Requests refused for being too many, by what was bounded; for the metrics.
     pub refused: [AtomicU64; 3],
     doors: Mutex<Doors>,
+    pub(super) reached: reach::Lock,
 }
 
 /// What a request was refused for, as the metrics name it.
@@ -82,13 +84,19 @@
 
 impl Node {
     pub fn new(settings: Settings) -> Node {
+        Node::within(Net::Tcp, settings)
+    }
+
+    /// A controller whose connections are made in this network.
+    pub fn within(net: Net, settings: Settings) -> Node {
         let share = settings.deployment.state.rps() * LOOKUPS;
         let lookups = Pace::new(share / (settings.members.len() + 1) as f64, 0);
         Node {
             cluster: Cluster::new(&settings),
-            store: Store::new(settings.endpoints.state.clone()),
-            cloud: Cloud::new(settings.endpoints.cloud.clone()),
-            workers: Client::new(1),
+            store: Store::new(net.clone(), settings.endpoints.state.clone()),
+            cloud: Cloud::new(net.clone(), settings.endpoints.cloud.clone()),
+            workers: Client::within(net.clone(), 1),
+            net,
             settings: Arc::new(settings),
             start: Instant::now(),
             state: Mutex::default(),
@@ -99,6 +107,7 @@
             lookups: Mutex::new(lookups),
             refused: Default::default(),
             doors: Mutex::default(),
+            reached: Mutex::default(),
         }
     }
 
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -8,6 +8,7 @@
 use crate::state::machine::Seen;
 use crate::state::names::*;
 use crate::state::teams::{Split, Usage};
+use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::Shape;
 use std::collections::{BTreeMap, HashSet};
 
@@ -103,11 +104,16 @@
         // By priority: a team's lower work makes way for its higher.
         let split = |s: &Split| -> [Usage; 4] { std::array::from_fn(|p| s.at(p)) };
         let mut used: Vec<[Usage; 4]> = self.teams.splits().map(split).collect();
+        let short = self.service.is_short();
         // Then those that are ready by the time a machine rented now is up.
         let soon: Vec<Ranked> = self
             .soon_ready(boot * 0.5, now)
             .into_iter()
-            .map(|id| Ranked { id, guaranteed: false })
+            .filter_map(|id| {
+                let team = self.jobs.get(&id)?.spec.team;
+                let (team_need, class_need) = (false, Need::NONE);
+                Some(Ranked { id, guaranteed: false, team, team_need, class_need })
+            })
             .collect();
         for r in self.ranked(now).into_iter().chain(soon) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
@@ -121,7 +127,10 @@
             let room = |max: f64, used: f64, need: f64| {
                 if need <= 0.0 { 1e6 } else { ((max - used + EPS) / need).floor().max(0.0) }
             };
-            let above = &mut used[spec.team.ix()][..=spec.precedence as usize];
+            // By need work of any precedence may go before: then nothing makes way for certain, and a
+            // machine would only wait until the team's limit lets it be used.
+            let last = if short { 3 } else { spec.precedence as usize };
+            let above = &mut used[spec.team.ix()][..=last];
             let cpus = above.iter().map(|u| u.cpus).sum();
             let cards = above.iter().map(|u| u.cards).sum();
             let quota =
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -2,8 +2,8 @@
 
 use crate::state::cell::Cell;
 use crate::state::job::{EPS, Spec};
-use crate::state::machine::Seen;
 use crate::state::names::*;
+use crate::state::served;
 use copperhaven_wire::jobs::Shape;
 
 impl Cell {
@@ -59,6 +59,7 @@
         let (used, held) = (self.teams.usage(spec.team), self.teams.held(spec.team));
         let mut cpus = used.cpus + held.cpus + spec.cpus * n - team.cpus_max;
         let mut cards = used.cards + held.cards + spec.cards * n - team.gpus_max;
+        let own = self.needs.class(served::pair(spec));
         let mut victims: Vec<(f64, MachineId, JobId, u32)> = Vec::new();
         for (mid, m) in &self.machines {
             for ((vid, task), e) in &m.entries {
@@ -70,12 +71,12 @@
                     cpus -= v.spec.cpus;
                     cards -= v.spec.cards;
                 } else if v.spec.precedence > spec.precedence && v.spec.shape != Shape::Gang {
-                    let ran = match e.seen {
-                        Seen::Running => now.saturating_sub(e.running_at.max(self.taken)),
-                        _ => 0,
-                    };
-                    let kept = v.spec.checkpoint_s > 0.0;
-                    let lost = if kept { v.spec.save_s } else { ran as f64 / 1000.0 };
+                    // Nobody makes room who is as much in need as the one that wants it.
+                    let needy = self.needs.class(served::pair(&v.spec));
+                    if needy.is_some() && needy <= own {
+                        continue;
+                    }
+                    let lost = self.lost_s(&v.spec, e, now);
                     victims.push((lost, *mid, *vid, *task));
                 }
             }
@@ -100,6 +101,7 @@
             tracing::info!("preempt {count} tasks for {}: its team's limit", spec.uid);
         }
         for (mid, vid, task, grace) in stops {
+            self.count_stop(mid, vid, task, now);
             if let Some(v) = self.jobs.get_mut(&vid) {
                 v.preempted += 1;
             }
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -3,7 +3,11 @@
 use crate::state::cell::Cell;
 use crate::state::job::{EPS, Job};
 use crate::state::names::*;
+use crate::state::served;
+use copperhaven_fairness::Team;
+use copperhaven_fairness::need::{Claim, Need, Needs, Place, order};
 use copperhaven_wire::jobs::{Precedence, Shape};
+use std::collections::BTreeMap;
 
 /// A job in the order in which it is served.
 #[derive(Debug, Clone, Copy)]
@@ -11,15 +15,40 @@
     pub id: JobId,
     /// Within its team's guarantee, together with the team's earlier unfinished jobs.
     pub guaranteed: bool,
+    pub team: TeamId,
+    /// Its team is served too little and has less than its share; how urgently its class is in
+    /// need within the team.
+    pub team_need: bool,
+    pub class_need: Need,
 }
 
+impl Ranked {
+    /// Does nothing of `v` make room for this one, because it is as much in need? Spared are a team
+    /// that is in need while this one is not, and a class that is as much in need.
+    pub(crate) fn spares(&self, v: &Ranked) -> bool {
+        let team = v.team != self.team && v.team_need && !self.team_need;
+        team || (v.class_need.is_some() && v.class_need <= self.class_need)
+    }
+}
+
+/// What jobs are served by while nobody is in need: beyond the guarantee, guest, precedence, turn, work,
+/// arrival, job.
+type Rank = (bool, bool, Precedence, u8, u64, u64, JobId);
+
+/// A job that has waited for so many of its spans goes before its equals; the second while its class is
+/// served too little.
+const FAR: f64 = 3.0;
+const FAR_SHORT: f64 = 12.0;
+
 impl Cell {
     /// Open jobs in the order in which they are served: those within their team's guarantee first,
     /// those of teams without one last, then by precedence. Among equals, those that can still be in time and have the least work
-    /// left go first; a job that has waited for three times its span goes before all of them.
+    /// left go first; a job that has waited for three times its span goes before all of them. Where
+    /// a team or a class is served too little, that order is changed (`copperhaven_fairness::need`).
     pub fn ranked(&self, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.teams.len()];
-        let mut out: Vec<(bool, bool, Precedence, u8, u64, u64, JobId)> = Vec::new();
+        let needs = self.who_needs();
+        let mut places: Vec<Place<Rank, bool>> = Vec::new();
         for (at, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
             let team = &self.settings.deployment.teams[job.spec.team.ix()];
@@ -27,27 +56,63 @@
             sum.0 += job.spec.cpus * f64::from(job.left());
             sum.1 += job.spec.cards * f64::from(job.left());
             let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
-            let (turn, work) = self.turn(job, now);
-            out.push((!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id));
+            let pair = served::pair(&job.spec);
+            let (turn, work) = self.turn(job, needs.class(pair), now);
+            let rank = (!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id);
+            let cpus = job.spec.cpus * f64::from(job.waiting.len());
+            places.push(Place { pair, rank, cpus, what: within });
+        }
+        order(&mut places, &needs);
+        let ranked = |p: Place<Rank, bool>| Ranked {
+            id: p.rank.6,
+            guaranteed: p.what,
+            team: TeamId(p.pair.0.0),
+            team_need: needs.team(p.pair.0),
+            class_need: needs.class(p.pair),
+        };
+        places.into_iter().map(ranked).collect()
+    }
+
+    /// Who is served too little. Guests take what is left, however little that was.
+    pub(crate) fn who_needs(&self) -> Needs {
+        if !self.service.is_short() {
+            return Needs::default();
+        }
+        let mut claims: BTreeMap<Team, Claim> = BTreeMap::new();
+        for job in self.queue.iter().filter_map(|(_, id)| self.jobs.get(id)) {
+            let team = &self.settings.deployment.teams[job.spec.team.ix()];
+            let claim = claims.entry(Team(job.spec.team.0)).or_default();
+            claim.weight = if team.is_guest() { 0.0 } else { team.cpus.max(1.0) };
+            claim.uses = self.teams.usage(job.spec.team).cpus;
+            claim.waits += job.spec.cpus * f64::from(job.waiting.len());
+            claim.waits = claim.waits.min((team.cpus_max - claim.uses).max(0.0));
         }
-        out.sort_unstable();
-        out.into_iter().map(|(g, .., id)| Ranked { id, guaranteed: !g }).collect()
+        let cpus = self.machines.values().filter(|m| !m.leaving && !m.faulty).map(|m| m.cpus).sum();
+        self.service.needs(&claims, cpus)
+    }
+
+    /// The work left of a job, in CPU milliseconds.
+    fn work_ms(&self, job: &Job) -> u64 {
+        let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
+        (f64::from(job.left()) * job.spec.cpus.max(0.1) * run * 1000.0) as u64
     }
 
-    /// 0: has waited far too long; 1: may be in time; 2: is late already. And the work left, in
-    /// CPU milliseconds.
-    fn turn(&self, job: &Job, now: u64) -> (u8, u64) {
+    /// 0: has waited far too long, and goes by arrival; 1: may be in time; 2: is late already. Those
+    /// go by the work left.
+    fn turn(&self, job: &Job, need: Need, now: u64) -> (u8, u64) {
         let spec = &job.spec;
         let run = self.rates.run_s(usize::MAX, spec.class, spec.estimate_s);
         let span = 1.0 / self.theta(spec);
         // A deadline counts from the submission, everything else from when nothing is missing.
         let from = if spec.deadline_s.is_some() { job.born } else { job.since };
         let age = (now as i64 - from) as f64 / 1000.0;
-        if age > 3.0 * span {
+        // Where a class is served too little nearly all its jobs have waited for long: by arrival the
+        // large ones would keep many small ones from being served at all.
+        let far = if need.is_some() { FAR_SHORT } else { FAR };
+        if age > far * span {
             return (0, 0);
         }
         let late = spec.shape == Shape::Array && age + run > span;
-        let work = f64::from(job.left()) * spec.cpus.max(0.1) * run * 1000.0;
-        (if late { 2 } else { 1 }, work as u64)
+        (if late { 2 } else { 1 }, self.work_ms(job))
     }
 }
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -8,6 +8,7 @@
 use crate::state::ledger::{Batch, Key};
 use crate::state::machine::Seen;
 use crate::state::names::*;
+use crate::state::served;
 
 impl Cell {
     /// The next transaction: at most `ops` changes, the most urgent keys first.
@@ -17,9 +18,12 @@
 
     /// The same, with so many of the changes left to what users wait for.
     pub fn batch_with_reserve(&mut self, ops: usize, reserve: usize) -> Option<Batch> {
-        let Cell { ledger, jobs, machines, links, fleet, names, aside, .. } = self;
-        let draft =
-            ledger.draft(&Book { jobs, machines, links, fleet, names, aside }, ops, reserve);
+        let Cell { ledger, jobs, machines, links, fleet, names, aside, service, .. } = self;
+        let draft = ledger.draft(
+            &Book { jobs, machines, links, fleet, names, aside, service },
+            ops,
+            reserve,
+        );
         for key in draft.long {
             self.ledger.hold_back(&key);
             if let Key::Machine(mid) = key {
@@ -77,7 +81,7 @@
                         self.ledger.unmark(key);
                     }
                 }
-                Key::Links(..) | Key::Rental(_) | Key::Drop(_) => {}
+                Key::Links(..) | Key::Rental(_) | Key::Drop(_) | Key::Service(_) => {}
             }
         }
     }
@@ -124,6 +128,7 @@
         }
         let Some(job) = self.jobs.remove(&id) else { return };
         self.queue.remove(&(job.turn_at, id));
+        self.service.forget(served::key(id));
         self.links.reconsider(&job);
         self.links.forget(&job.spec.uid);
         self.ledger.forget(&Key::Job(id));
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -12,8 +12,11 @@
 use crate::state::machine::{Direct, Entry, Machine, Seen};
 use crate::state::names::*;
 use crate::state::rates::Rates;
+use crate::state::served;
 use crate::state::table::Table;
 use crate::state::teams::{Teams, Usage};
+use copperhaven_fairness::ledger::Service;
+use copperhaven_fairness::need::Needs;
 use copperhaven_wire::jobs::{JobBody, Precedence};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -39,6 +42,10 @@
     pub aside: Aside,
     pub rates: Rates,
     pub fleet: Fleet,
+    /// What was served to whom.
+    pub service: Service,
+    /// Who was served too little, as of the last placement pass.
+    pub needs: Needs,
     pub direct: Vec<Direct>,
     next_id: usize,
     next_try: u64,
@@ -68,6 +75,8 @@
             ledger: Ledger::new(leader, settings.deployment.state.value_bytes()),
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
+            service: Service::default(),
+            needs: Needs::default(),
             links: Links::default(),
             aside: Aside::default(),
             finals: Finals::default(),
@@ -176,6 +185,7 @@
         job.eta = born + span_ms(run);
         self.queue.insert((at, id));
         self.jobs.insert(id, job);
+        self.open_service(id);
         id
     }
 
@@ -239,6 +249,7 @@
                 job.failures,
             );
         }
+        let done = !job.cancelled();
         let at = job.turn_at;
         let chunks = job.spec.tasks.div_ceil(CHUNK);
         let ver = self.touch(Key::Job(id));
@@ -248,6 +259,9 @@
         self.queue.remove(&(at, id));
         if let Some(job) = self.jobs.get_mut(&id) {
             job.final_ver = Some(ver);
+            if done {
+                self.service.done(served::key(id));
+            }
             job.routed.iter_mut().for_each(|r| *r = 0);
         }
         self.stir = true;
@@ -431,6 +445,16 @@
             assert!((used - parts).abs() < 1e-6, "parts of {}", team.name);
             assert!(used <= team.cpus_max + 1e-6, "limit of {}", team.name);
         }
+        let mut open: BTreeMap<_, u32> = BTreeMap::new();
+        for (_, id) in &self.queue {
+            *open.entry(served::pair(&self.jobs[id].spec)).or_default() += 1;
+        }
+        for (pair, (n, late)) in self.service.recount() {
+            assert_eq!(open.remove(&pair), Some(n), "open jobs of {pair:?}");
+            let row = self.service.pair(pair).expect("counted");
+            assert_eq!((row.open, row.late), (n, late), "the ledger of service, {pair:?}");
+        }
+        assert!(open.is_empty(), "jobs that the ledger of service lacks: {open:?}");
         for job in self.jobs.values() {
             let on: u32 = job.onto.values().sum();
             assert_eq!(on, job.in_zone.iter().sum::<u32>());
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -17,6 +17,8 @@
     Machine(MachineId),
     Done(JobId, u32),
     Drop(String),
+    /// What was served to whom, in parts.
+    Service(u32),
 }
 
 impl Key {
@@ -27,7 +29,8 @@
     fn urgency(&self) -> u8 {
         match self {
             Key::Links(..) | Key::Job(_) => 0,
-            Key::Rental(_) => 1,
+            // A put every ten seconds, of which a successor goes on.
+            Key::Rental(_) | Key::Service(_) => 1,
             Key::Machine(_) => 2,
             Key::Done(..) => Key::RANGES,
             Key::Drop(_) => Key::LAST,
--- /dev/null
+++ b/crates/core/src/state/served.rs
@@ -0,0 +1,127 @@
+//! What the ledger of service is told of jobs and tasks.
+
+use crate::records::{Record, SERVICE_PARTS, ServiceRecord};
+use crate::state::cell::Cell;
+use crate::state::job::{Job, Spec, span_ms};
+use crate::state::ledger::Key;
+use crate::state::names::*;
+use copperhaven_fairness::carried::Carried;
+use copperhaven_fairness::ledger::{Row, Service};
+use copperhaven_fairness::{self as fairness, Class, Pair, Team};
+
+/// A job that fails wherever it starts is nobody's neglect; it is looked at again after this long.
+const EXCUSED_MS: u64 = 30_000;
+
+pub fn key(id: JobId) -> fairness::Job {
+    fairness::Job(u64::from(id.0))
+}
+
+pub fn pair(spec: &Spec) -> Pair {
+    (Team(spec.team.0), Class(spec.class.0))
+}
+
+/// What of the ledger of service is recorded, in parts that fit into a value. What doesn't fit into all of
+/// them is lost: pairs of team and class that were served least of late.
+pub fn parts(service: &Service, names: &Names, most: usize) -> Vec<Vec<Carried>> {
+    let name = |(team, class): Pair| {
+        (names.teams.name(team.0 as usize).into(), names.classes.name(class.0 as usize).into())
+    };
+    let size = |row: &Carried| {
+        let one = Record::Service(ServiceRecord { rows: vec![row.clone()] });
+        one.bytes() + 2
+    };
+    let mut parts: Vec<Vec<Carried>> = vec![];
+    let mut left = 0;
+    for row in service.carry(name) {
+        let bytes = size(&row);
+        if bytes > left || parts.is_empty() {
+            if parts.len() == SERVICE_PARTS as usize || bytes > most {
+                break;
+            }
+            parts.push(vec![]);
+            left = most;
+        }
+        left -= bytes;
+        parts.last_mut().expect("just pushed").push(row);
+    }
+    parts
+}
+
+impl Cell {
+    /// Has the ledger of service recorded, for a successor.
+    pub fn record_service(&mut self) {
+        let parts = parts(&self.service, &self.names, self.ledger.value_limit).len();
+        for part in 0..parts as u32 {
+            self.touch(Key::Service(part));
+        }
+    }
+
+    /// Goes on from what earlier leaders recorded. What can't be used of it is left out: no rule rests
+    /// on it.
+    pub(crate) fn resume_service(&mut self, read: Vec<(String, ServiceRecord, u64)>, now: u64) {
+        for (path, record, stamp) in read {
+            self.ledger.stamp(path, Some(stamp));
+            for row in record.rows {
+                // A team that the settings don't know any more has no jobs.
+                let Some(team) = self.names.teams.get(&row.t) else { continue };
+                let class = self.names.classes.intern(&row.c);
+                self.service.resume((Team(team.0), Class(class.0)), &row, now);
+            }
+        }
+    }
+
+    /// What was served of late, in a line for the log: by class, and the team that was served least.
+    pub fn service_line(&self, now: u64) -> String {
+        let tell = |name: &str, r: &Row| {
+            let (share, lost) = (r.share(now), 100.0 * r.lost(now));
+            format!(
+                "{name} {share:.2} ({} done, {} open, {} of them late, {lost:.1}% lost)",
+                r.done, r.open, r.late
+            )
+        };
+        let busy = |r: &Row| r.taken > 0 || r.open > 0;
+        let mut out: Vec<String> = vec![];
+        for (class, row) in self.service.classes().filter(|(_, r)| busy(r)) {
+            let own = |j: &&Job| j.spec.class.0 == class.0;
+            let cpus = |n: fn(&Job) -> u32| -> f64 {
+                self.jobs.values().filter(own).map(|j| j.spec.cpus * f64::from(n(j))).sum()
+            };
+            let (on, runs, waits) =
+                (cpus(|j| j.onto.values().sum()), cpus(|j| j.running), cpus(|j| j.waiting.len()));
+            let text = tell(self.names.classes.name(class.0 as usize), row);
+            out.push(format!("{text}: {on:.0} CPUs, {runs:.0} run, {waits:.0} wait"));
+        }
+        let teams = self.service.teams().filter(|(_, r)| busy(r));
+        let least = teams.min_by(|a, b| a.1.share(now).total_cmp(&b.1.share(now)));
+        if let Some((team, row)) = least {
+            let name = self.names.teams.name(team.0 as usize);
+            out.push(format!("least of teams {}", tell(name, row)));
+        }
+        out.join(", ")
+    }
+
+    /// Within this a job should be done: the longest that its class's objectives speak of, or its
+    /// own deadline if that is longer.
+    fn aim_ms(&self, spec: &Spec) -> u64 {
+        let class = self.settings.class_span(self.names.classes.name(spec.class.ix()));
+        let aim = class.into_iter().chain(spec.deadline_s).reduce(f64::max);
+        span_ms(aim.unwrap_or(self.settings.tuning.default_span_s)).unsigned_abs()
+    }
+
+    /// The job's time counts from here on.
+    pub(crate) fn open_service(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let aim = self.aim_ms(&job.spec);
+        self.service.opened(key(id), pair(&job.spec), job.since, aim);
+    }
+
+    /// Time passes: open jobs become late, but for those that fail wherever they start.
+    pub(crate) fn pass_service(&mut self, now: u64) {
+        let Cell { service, jobs, .. } = self;
+        let failing = |job: fairness::Job| {
+            let id = JobId(job.0 as u32);
+            jobs.get(&id).is_some_and(|j| j.is_failing())
+        };
+        service.pass(now, EXCUSED_MS, failing);
+    }
+}
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -7,6 +7,7 @@
 use crate::state::job::{CHUNK, FAR_MS, Wait};
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Entry};
+use crate::state::served;
 use copperhaven_wire::jobs::check;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
     pub machines: Rows<MachineRecord>,
     pub rentals: Rows<RentalRecord>,
     pub links: Rows<LinksRecord>,
+    pub service: Rows<ServiceRecord>,
     /// Records that can't be read: path and version.
     pub bad: Vec<(String, u64)>,
 }
@@ -28,8 +30,9 @@
 /// Puts together what an earlier leader has left. `now` is this leader's steady clock, `wall_ms` the
 /// time of day, both in milliseconds. What can't be read or used is set aside (`state::aside`).
 pub fn rebuild(cell: &mut Cell, read: Records, now: u64, wall_ms: u64) {
-    let Records { jobs, done, machines, rentals, links, bad } = read;
+    let Records { jobs, done, machines, rentals, links, service, bad } = read;
     set_aside(cell, bad);
+    cell.resume_service(service, now);
     let links = read_links(cell, links);
     read_jobs(cell, jobs, links, (now, wall_ms));
     read_done(cell, done);
@@ -143,6 +146,7 @@
                 job.cancel_ver = Some(0);
                 job.waiting.clear();
                 cell.queue.remove(&(at, id));
+                cell.service.forget(served::key(id));
             } else if let Some(since) = record.since {
                 // It has waited for others.
                 let since = since.min(wall_ms + FAR_MS as u64);
@@ -150,6 +154,7 @@
                 job.turn_at = since;
                 cell.queue.remove(&(at, id));
                 cell.queue.insert((since, id));
+                cell.open_service(id);
             }
         }
         cell.ledger.mark_saved(Key::Job(id));
@@ -245,9 +250,15 @@
             };
             for task in from_ranges(&on.r) {
                 let job = &cell.jobs[&id];
-                if task < job.spec.tasks && !job.done.contains(task) {
+                if task < job.spec.tasks {
                     let mut e = Entry::new(on.t, 0, now);
                     e.inherited = true;
+                    // Done by one record, and listed by another: mostly it has exited since. But an
+                    // earlier leader that could not read the first has started it again, and so it
+                    // may be there, and counts, until it is proven not to be.
+                    if job.done.contains(task) {
+                        e.stop = Some((now, 0.0));
+                    }
                     cell.attach(mid, id, task, e);
                     if let Some(job) = cell.jobs.get_mut(&id) {
                         job.attempt = job.attempt.max(on.t);
