Losses are bounded while somebody is in need; room in memory is shared by teams; returns are spread

One team's array could fill the memory for waiting tasks and keep all others out with 503 for as long as it lasted, and a crowd that was turned away returned at once. Change: bounds only while somebody is in need; a quarter of the room is kept, an equal part for each team; Retry-After spread to twice its base, 30 s at most.

--- a/crates/controller/src/node/serve.rs
+++ b/crates/controller/src/node/serve.rs
@@ -3,6 +3,7 @@
 use crate::cluster::frames::Op;
 use crate::node::Node;
 use crate::node::REFUSALS;
+use crate::node::submissions::spread;
 use crate::reply::Reply;
 use copperhaven_wire::jobs;
 use std::sync::atomic::Ordering;
@@ -33,7 +34,7 @@
 
     pub(super) fn too_many(&self, why: usize) -> Reply {
         self.refused[why].fetch_add(1, Ordering::Relaxed);
-        Reply::later(&format!("too many {}", REFUSALS[why]), 2)
+        Reply::later(&format!("too many {}", REFUSALS[why]), spread(2))
     }
 
     /// Answers as leader, or passes the request on while it may be (`hops`).
--- a/crates/controller/src/node/submissions.rs
+++ b/crates/controller/src/node/submissions.rs
@@ -19,14 +19,17 @@
     Refused(Reply),
 }
 
+/// Seconds after which to come back, from `s` to twice as many: a crowd that is turned away at once must
+/// not return at once. Users honour up to 30.
+pub(super) fn spread(s: u16) -> u16 {
+    rand::random_range(s..=2 * s).min(30)
+}
+
 const USER_LIMIT: Duration = Duration::from_millis(2500);
 
 /// How often a submission asks the records about jobs that it waits for.
 const READS: usize = 4;
 
-/// What a job takes of the leader's memory, in tasks.
-const JOB_AS_TASKS: usize = 40;
-
 impl Node {
     pub(super) async fn submit(&self, body: &[u8]) -> Reply {
         let Some(term) = self.term() else { return Reply::later("no leader", 1) };
@@ -112,11 +115,9 @@
                     return Err(Reply::error(422, &e.to_string()));
                 }
             };
-            let tasks: usize = c.jobs.values().map(|j| j.spec.tasks as usize).sum();
-            let open = tasks + c.jobs.len() * JOB_AS_TASKS;
-            if open + spec.tasks as usize > c.settings.most_tasks() {
+            if !c.has_room(spec.team, spec.tasks) {
                 c.service.refused(served::pair(&spec), Refusal::Memory);
-                return Err(Reply::later("more tasks than fit into memory", 20));
+                return Err(Reply::later("more tasks than fit into memory", spread(15)));
             }
             // Types that the cloud doesn't have can't matter, and a long list of them would not
             // fit into the record.
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -240,7 +240,11 @@
             let may = (lower || beyond)
                 && (!patient || guest(&v.spec))
                 && !order.get(id).is_some_and(|v| r.spares(v))
-                && (guest(&v.spec) || self.service.may_lose(Class(v.spec.class.0), part));
+                // Found on paired seeds of a small site: bounded at all times, losses kept gangs waiting on
+                // days without overload.
+                && (!short
+                    || guest(&v.spec)
+                    || self.service.may_lose(Class(v.spec.class.0), part));
             if !may {
                 // While somebody is served too little, whoever's turn it is waits for what runs out
                 // soon: small tasks would take every place that gets free, and it none.
--- a/crates/core/src/state/served.rs
+++ b/crates/core/src/state/served.rs
@@ -7,11 +7,15 @@
 use crate::state::names::*;
 use copperhaven_fairness::carried::Carried;
 use copperhaven_fairness::ledger::{Row, Service};
+use copperhaven_fairness::room::Room;
 use copperhaven_fairness::{self as fairness, Class, Pair, Team};
 
 /// A job that fails wherever it starts is nobody's neglect; it is looked at again after this long.
 const EXCUSED_MS: u64 = 30_000;
 
+/// What a job takes of the leader's memory, in tasks.
+const JOB_AS_TASKS: u64 = 40;
+
 pub fn key(id: JobId) -> fairness::Job {
     fairness::Job(u64::from(id.0))
 }
@@ -48,6 +52,18 @@
 }
 
 impl Cell {
+    /// Does memory have room for a job of this team and so many tasks? A job counts as some tasks.
+    pub fn has_room(&self, team: TeamId, tasks: u32) -> bool {
+        let of = |j: &Job| u64::from(j.spec.tasks) + JOB_AS_TASKS;
+        let (mut all, mut own) = (0, 0);
+        for job in self.jobs.values() {
+            all += of(job);
+            own += if job.spec.team == team { of(job) } else { 0 };
+        }
+        let most = self.settings.most_tasks() as u64;
+        Room { most, teams: self.teams.len() as u64 }.takes(all, own, u64::from(tasks))
+    }
+
     /// Has the ledger of service recorded, for a successor.
     pub fn record_service(&mut self) {
         let parts = parts(&self.service, &self.names, self.ledger.value_limit).len();
--- a/crates/fairness/src/lib.rs
+++ b/crates/fairness/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod ledger;
 pub mod loss;
 pub mod need;
+pub mod room;
 pub mod shares;
 
 /// A team, as the caller numbers it.
--- a/crates/fairness/tests/service.rs
+++ b/crates/fairness/tests/service.rs
@@ -3,6 +3,7 @@
 
 use copperhaven_fairness::ledger::{NEGLECTED, Service};
 use copperhaven_fairness::need::{Claim, FLOOR, Need, Needs, Place, order};
+use copperhaven_fairness::room::Room;
 use copperhaven_fairness::shares::{Want, max_min};
 use copperhaven_fairness::{Class, Job, Pair, Team};
 use proptest::prelude::*;
@@ -232,6 +233,27 @@
         prop_assert!((got.iter().sum::<f64>() - all.min(capacity)).abs() < 1e-6, "nothing is kept back");
     }
 
+    /// Whatever the others bring, in whatever order, a team within its own part of the room is taken in,
+    /// and no more than fits ever is.
+    #[test]
+    fn room_is_left_for_every_team(
+        asks in proptest::collection::vec((0..4usize, 1..400u64), 1..80),
+        most in 400..2000u64,
+    ) {
+        let room = Room { most, teams: 4 };
+        let mut open = [0u64; 4];
+        for (team, more) in asks {
+            let all = open.iter().sum();
+            let takes = room.takes(all, open[team], more);
+            prop_assert!(takes || open[team] + more > room.own());
+            prop_assert!(takes || all > 0 || more > most - most / 4, "an empty room takes a large one");
+            if takes {
+                open[team] += more;
+            }
+            prop_assert!(open.iter().sum::<u64>() <= most);
+        }
+    }
+
     /// A team's classes are served in proportion to what it offers of them, and teams by their shares,
     /// whatever ranks they have and whoever leads: at least half of it, but for a bound.
     #[test]
