Read once more: needs worked out once a pass, one sample body, one slot of a machine

Need: a pass and each plan of rentals worked out who is in need twice, and rentals asked another question (is anybody short) than the order (is anybody in need). The sample submission stood in three crates' tests, a machine's free place in two files, the rule who is spared in two. Change: ranked takes the needs; Need::is_spared, Slot::on and wire's sample serve all; Row::served, which nobody called, goes.

--- a/crates/controller/tests/world/main.rs
+++ b/crates/controller/tests/world/main.rs
@@ -14,9 +14,10 @@
 use copperhaven::leadership;
 use copperhaven::node::Node;
 use copperhaven::peers;
+use copperhaven_core::for_tests;
 use copperhaven_core::settings::Settings;
 use copperhaven_wire::encode;
-use copperhaven_wire::jobs::{JobBody, Precedence, Shape, Shown};
+use copperhaven_wire::jobs::{JobBody, Shown};
 use network::{Host, Mode, Network};
 use services::{CLOUD, STATE, Store};
 use std::collections::BTreeMap;
@@ -226,27 +227,13 @@
 
 async fn submit(world: Arc<World>, uid: String, n: usize) {
     let body = encode(&JobBody {
-        uid: uid.clone(),
         lot: "c".into(),
-        owner: "red".into(),
-        shape: Shape::Array,
-        precedence: Precedence::Low,
         parcels: TASKS.into(),
-        cpus: 1.0,
-        cards: 0.0,
         mem_gb: 1.0,
-        cargo: "i".into(),
         pull_gb: 0.1,
-        berths: None,
-        yard: None,
-        together: false,
-        spread: false,
-        loaners: true,
         expected_s: 8.0,
-        stamp_every_s: 0.0,
-        stamp_s: 0.0,
         due_s: None,
-        awaits: None,
+        ..for_tests::body(&uid)
     });
     let begun = Instant::now();
     for attempt in 0..60 {
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -104,7 +104,7 @@
         // By priority: a team's lower work makes way for its higher.
         let split = |s: &Split| -> [Usage; 4] { std::array::from_fn(|p| s.at(p)) };
         let mut used: Vec<[Usage; 4]> = self.teams.splits().map(split).collect();
-        let short = self.service.is_short();
+        let needs = self.who_needs();
         // Then those that are ready by the time a machine rented now is up.
         let soon: Vec<Ranked> = self
             .soon_ready(boot * 0.5, now)
@@ -115,7 +115,7 @@
                 Some(Ranked { id, guaranteed: false, team, team_need, class_need })
             })
             .collect();
-        for r in self.ranked(now).into_iter().chain(soon) {
+        for r in self.ranked(&needs, now).into_iter().chain(soon) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let spec = &job.spec;
             let early = !job.awaits.is_empty();
@@ -129,7 +129,7 @@
             };
             // By need work of any precedence may go before: then nothing makes way for certain, and a
             // machine would only wait until the team's limit lets it be used.
-            let last = if short { 3 } else { spec.precedence as usize };
+            let last = if needs.any() { 3 } else { spec.precedence as usize };
             let above = &mut used[spec.team.ix()][..=last];
             let cpus = above.iter().map(|u| u.cpus).sum();
             let cards = above.iter().map(|u| u.cards).sum();
--- a/crates/core/src/for_tests.rs
+++ b/crates/core/src/for_tests.rs
@@ -9,7 +9,8 @@
 use crate::state::names::*;
 use crate::workers::reports::Taken;
 use copperhaven_wire::cloud::WireFlavor;
-use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::jobs::JobBody;
+pub use copperhaven_wire::jobs::sample as body;
 use copperhaven_wire::workers::{Order, Parcel, Report};
 use std::sync::Arc;
 
@@ -157,32 +158,6 @@
     toml::from_str(SAMPLE).expect("the sample parses")
 }
 
-pub fn body(uid: &str) -> JobBody {
-    JobBody {
-        uid: uid.into(),
-        lot: "steady".into(),
-        owner: "red".into(),
-        shape: Shape::Array,
-        precedence: Precedence::Low,
-        parcels: 3,
-        cpus: 1.0,
-        cards: 0.0,
-        mem_gb: 2.0,
-        cargo: "img".into(),
-        pull_gb: 1.0,
-        berths: None,
-        yard: None,
-        together: false,
-        spread: false,
-        loaners: true,
-        expected_s: 20.0,
-        stamp_every_s: 0.0,
-        stamp_s: 0.0,
-        due_s: Some(60.0),
-        awaits: None,
-    }
-}
-
 pub fn flavors(names: &mut Names) -> Vec<Flavor> {
     let make = |label: &str, cpus: f64, hourly: f64| WireFlavor {
         label: label.into(),
--- a/crates/core/src/pipelines/awaits.rs
+++ b/crates/core/src/pipelines/awaits.rs
@@ -115,8 +115,7 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             job.accept_ver = ver;
         }
-        let pair = self.jobs.get(&id).map(|j| served::pair(&j.spec));
-        if let Some(pair) = pair {
+        if let Some(pair) = self.jobs.get(&id).map(|j| served::pair(&j.spec)) {
             self.service.taken(pair);
         }
         if dead {
--- a/crates/core/src/pipelines/tests.rs
+++ b/crates/core/src/pipelines/tests.rs
@@ -96,7 +96,10 @@
     assert_eq!((shown.status.as_str(), shown.awaits.len()), ("queued", 2));
     assert!(["wk-1", "wk-2"].contains(&shown.held_by.expect("a step").uid.as_str()));
     // It is in no queue: not ranked, no load, no place, no machines rented.
-    assert!(c.ranked(T0).iter().all(|r| r.id != id) && c.jobs[&id].routed.iter().all(|r| *r == 0));
+    assert!(
+        c.ranked(&c.who_needs(), T0).iter().all(|r| r.id != id)
+            && c.jobs[&id].routed.iter().all(|r| *r == 0)
+    );
     finish(&mut c, "wk-1");
     commit(&mut c);
     c.follow(T0);
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -72,8 +72,7 @@
                     cards -= v.spec.cards;
                 } else if v.spec.precedence > spec.precedence && v.spec.shape != Shape::Gang {
                     // Nobody makes room who is as much in need as the one that wants it.
-                    let needy = self.needs.class(served::pair(&v.spec));
-                    if needy.is_some() && needy <= own {
+                    if self.needs.class(served::pair(&v.spec)).is_spared(own) {
                         continue;
                     }
                     let lost = self.lost_s(&v.spec, e, now);
--- a/crates/core/src/placement/need_tests.rs
+++ b/crates/core/src/placement/need_tests.rs
@@ -42,7 +42,10 @@
 
 /// The names of the jobs in the order in which they are served.
 fn order(c: &Cell, now: u64) -> Vec<String> {
-    c.ranked(now).iter().map(|r| c.jobs[&r.id].spec.uid.trim_start_matches("wk-").into()).collect()
+    c.ranked(&c.who_needs(), now)
+        .iter()
+        .map(|r| c.jobs[&r.id].spec.uid.trim_start_matches("wk-").into())
+        .collect()
 }
 
 #[test]
@@ -80,7 +83,7 @@
     machines(&mut c, 8, T0 + LATE);
     // Now blue is in need as well and has nothing: it goes before red beyond what both have of their
     // shares, side by side.
-    let ranked = c.ranked(T0 + LATE);
+    let ranked = c.ranked(&c.who_needs(), T0 + LATE);
     let blue = c.names.teams.get("blue").expect("known");
     assert!(ranked.iter().filter(|r| r.team == blue).all(|r| r.team_need));
     assert!(ranked[..4].iter().any(|r| r.team == blue));
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -27,7 +27,7 @@
     /// that is in need while this one is not, and a class that is as much in need.
     pub(crate) fn spares(&self, v: &Ranked) -> bool {
         let team = v.team != self.team && v.team_need && !self.team_need;
-        team || (v.class_need.is_some() && v.class_need <= self.class_need)
+        team || v.class_need.is_spared(self.class_need)
     }
 }
 
@@ -45,9 +45,8 @@
     /// those of teams without one last, then by precedence. Among equals, those that can still be in time and have the least work
     /// left go first; a job that has waited for three times its span goes before all of them. Where
     /// a team or a class is served too little, that order is changed (`copperhaven_fairness::need`).
-    pub fn ranked(&self, now: u64) -> Vec<Ranked> {
+    pub fn ranked(&self, needs: &Needs, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.teams.len()];
-        let needs = self.who_needs();
         let mut places: Vec<Place<Rank, bool>> = Vec::new();
         for (at, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -62,7 +61,7 @@
             let cpus = job.spec.cpus * f64::from(job.waiting.len());
             places.push(Place { pair, rank, cpus, what: within });
         }
-        order(&mut places, &needs);
+        order(&mut places, needs);
         let ranked = |p: Place<Rank, bool>| Ranked {
             id: p.rank.6,
             guaranteed: p.what,
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -71,7 +71,7 @@
         self.teams.release_held(unknown);
         self.pass_service(now);
         self.needs = self.who_needs();
-        let ranked = self.ranked(now);
+        let ranked = self.ranked(&self.needs, now);
         let mut slots = self.slots(now);
         let order: Order = ranked.iter().map(|r| (r.id, *r)).collect();
         let mut full = Full::default();
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -61,18 +61,7 @@
         let short = self.needs.any();
         for mid in &held {
             let m = &self.machines[mid];
-            let mut free = Slot {
-                mid: *mid,
-                kind: m.kind,
-                zone: m.zone,
-                spot: m.spot,
-                cpus: m.cpus - m.used_cpus,
-                cards: m.cards - m.used_cards,
-                mem_gb: m.mem_gb - m.used_mem,
-                images: vec![],
-                record: usize::MAX,
-                reserved: None,
-            };
+            let mut free = Slot::on(*mid, m);
             for ((v, _), e) in &m.entries {
                 if let Some(v) = self.jobs.get(v)
                     && (e.stop.is_some() || (short && self.runs_out(&v.spec, e, now)))
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -3,6 +3,7 @@
 use crate::state::book::{GROUP_BYTES, RANGE_BYTES};
 use crate::state::cell::Cell;
 use crate::state::job::{EPS, Spec};
+use crate::state::machine::Machine;
 use crate::state::names::*;
 
 /// A machine with what is free on it.
@@ -22,6 +23,22 @@
 }
 
 impl Slot {
+    /// A machine with what is free on it now, no image and room in its record.
+    pub fn on(mid: MachineId, m: &Machine) -> Slot {
+        Slot {
+            mid,
+            kind: m.kind,
+            zone: m.zone,
+            spot: m.spot,
+            cpus: m.cpus - m.used_cpus,
+            cards: m.cards - m.used_cards,
+            mem_gb: m.mem_gb - m.used_mem,
+            images: vec![],
+            record: usize::MAX,
+            reserved: None,
+        }
+    }
+
     /// How many tasks of this shape fit.
     pub fn fits(&self, spec: &Spec) -> u32 {
         let listed = (self.record.saturating_sub(GROUP_BYTES) / RANGE_BYTES).min(256) as u32;
@@ -76,16 +93,10 @@
             .map(|(mid, m)| (mid, m, self.record_room(m)))
             .filter(|(.., record)| *record >= GROUP_BYTES + RANGE_BYTES)
             .map(|(mid, m, record)| Slot {
-                mid: *mid,
-                kind: m.kind,
-                zone: m.zone,
-                spot: m.spot,
-                cpus: m.cpus - m.used_cpus,
-                cards: m.cards - m.used_cards,
-                mem_gb: m.mem_gb - m.used_mem,
                 images: m.images.iter().map(|(i, _)| *i).collect(),
                 record,
                 reserved: m.reserved.filter(|(_, until)| now < *until).map(|(id, _)| id),
+                ..Slot::on(*mid, m)
             })
             .collect()
     }
--- a/crates/core/tests/failures/users.rs
+++ b/crates/core/tests/failures/users.rs
@@ -2,6 +2,7 @@
 
 use crate::world::*;
 use copperhaven_core::admission::shape::admit_shape;
+use copperhaven_core::for_tests::body;
 use copperhaven_core::pipelines::awaits::{Awaits, Named};
 use copperhaven_core::records::Record;
 use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
@@ -18,27 +19,19 @@
             let gang = self.chance(0.25);
             let red = self.chance(0.6);
             let mut body = JobBody {
-                uid: format!("wk-{n:06}"),
                 lot: "c".into(),
                 owner: if red { "red" } else { "blue" }.into(),
                 shape: if gang { Shape::Gang } else { Shape::Array },
                 precedence: if gang { Precedence::High } else { Precedence::Low },
                 parcels: if gang { 2 } else { self.rng.random_range(1..20) },
                 cpus: if gang { 4.0 } else { self.rng.random_range(1..7) as f64 * 0.5 },
-                cards: 0.0,
-                mem_gb: 2.0,
                 cargo: "i".into(),
-                pull_gb: 1.0,
-                berths: None,
                 yard: self.chance(0.1).then(|| "s".into()),
                 together: gang && self.chance(0.5),
-                spread: false,
                 loaners: self.chance(0.7),
                 expected_s: 10.0,
-                stamp_every_s: 0.0,
-                stamp_s: 0.0,
                 due_s: None,
-                awaits: None,
+                ..body(&format!("wk-{n:06}"))
             };
             // Pipelines: it names jobs that were accepted, in any state.
             let named: BTreeSet<String> =
--- a/crates/core/tests/upgrade.rs
+++ b/crates/core/tests/upgrade.rs
@@ -3,7 +3,7 @@
 //! again of this version's records is told by its structures, restated here.
 
 use copperhaven_core::admission::shape::admit_shape;
-use copperhaven_core::for_tests::{OBJECTIVES, TEAMS, sample_with};
+use copperhaven_core::for_tests::{OBJECTIVES, TEAMS, body, sample_with};
 use copperhaven_core::records::*;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::state::fleet::Flavor;
@@ -84,27 +84,14 @@
 
 fn submit(c: &mut Cell, uid: &str, edit: fn(&mut JobBody)) -> JobId {
     let mut body = JobBody {
-        uid: uid.into(),
-        lot: "steady".into(),
-        owner: "red".into(),
-        shape: Shape::Array,
-        precedence: Precedence::Low,
         parcels: 1,
         cpus: 0.25,
-        cards: 0.0,
         mem_gb: 0.5,
         cargo: "img-07".into(),
         pull_gb: 1.5,
         berths: Some(vec!["big".into()]),
-        yard: None,
-        together: false,
-        spread: false,
-        loaners: true,
-        expected_s: 20.0,
-        stamp_every_s: 0.0,
-        stamp_s: 0.0,
         due_s: None,
-        awaits: None,
+        ..body(uid)
     };
     edit(&mut body);
     let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
--- a/crates/fairness/src/ledger.rs
+++ b/crates/fairness/src/ledger.rs
@@ -62,12 +62,6 @@
         let lost = self.lately.lost_s.at(now);
         if lost > 0.0 { lost / (lost + self.lately.cpu_s.at(now)) } else { 0.0 }
     }
-
-    /// Of all that were taken in or refused and not cancelled, the part that is done.
-    pub fn served(&self) -> f64 {
-        let of = self.taken.saturating_sub(self.cancelled);
-        if of == 0 { 1.0 } else { self.done as f64 / of as f64 }
-    }
 }
 
 /// An open job.
--- a/crates/fairness/src/need.rs
+++ b/crates/fairness/src/need.rs
@@ -37,6 +37,11 @@
     pub fn is_some(self) -> bool {
         self != Need::NONE
     }
+
+    /// Does nothing of whoever has this need make room for `other`, because that one's is no greater?
+    pub fn is_spared(self, other: Need) -> bool {
+        self.is_some() && self <= other
+    }
 }
 
 /// What a team uses and wants yet, and what it counts for. CPUs.
--- a/crates/wire/src/jobs.rs
+++ b/crates/wire/src/jobs.rs
@@ -184,37 +184,40 @@
     }
 }
 
+/// A submission as tests change it.
+#[cfg(any(test, feature = "testing"))]
+pub fn sample(uid: &str) -> JobBody {
+    JobBody {
+        uid: uid.into(),
+        lot: "steady".into(),
+        owner: "red".into(),
+        shape: Shape::Array,
+        precedence: Precedence::Low,
+        parcels: 3,
+        cpus: 1.0,
+        cards: 0.0,
+        mem_gb: 2.0,
+        cargo: "img".into(),
+        pull_gb: 1.0,
+        berths: None,
+        yard: None,
+        together: false,
+        spread: false,
+        loaners: true,
+        expected_s: 20.0,
+        stamp_every_s: 0.0,
+        stamp_s: 0.0,
+        due_s: Some(60.0),
+        awaits: None,
+    }
+}
+
 #[cfg(test)]
 mod tests {
+    use super::sample as body;
     use super::*;
     use crate::encode;
 
-    fn body(uid: &str) -> JobBody {
-        JobBody {
-            uid: uid.into(),
-            lot: "steady".into(),
-            owner: "red".into(),
-            shape: Shape::Array,
-            precedence: Precedence::Low,
-            parcels: 3,
-            cpus: 1.0,
-            cards: 0.0,
-            mem_gb: 2.0,
-            cargo: "img".into(),
-            pull_gb: 1.0,
-            berths: None,
-            yard: None,
-            together: false,
-            spread: false,
-            loaners: true,
-            expected_s: 20.0,
-            stamp_every_s: 0.0,
-            stamp_s: 0.0,
-            due_s: Some(60.0),
-            awaits: None,
-        }
-    }
-
     type Edit = fn(&mut JobBody);
 
     #[test]
