Passes share what they found: room by shape, what may be stopped by job

Cause: at half as many machines again a flood of gangs kept the leader at 0.55 to 0.75 of a core, two thirds of it in placement passes (profile of the process itself): every waiting gang looked through all machines for places and for tasks to stop, each task on each machine judged anew.

Change: within a pass room is remembered by shape as a bound, so a gang that needs more than is left does not look; what may be stopped of a job is judged once a search, and a machine on which nothing could fit is left before its tasks are weighed; machines kept for jobs are listed once a pass. Hashing by rustc-hash, images of a slot inline by smallvec.

--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -69,7 +69,7 @@
                 cpus: f.cpus,
                 cards: f.cards,
                 mem_gb: f.mem_gb,
-                images: vec![],
+                images: Default::default(),
                 record: usize::MAX,
                 reserved: None,
             }
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -18,7 +18,8 @@
 /// only get fewer within a pass, so whoever needs at least as much need not look.
 #[derive(Default)]
 pub(super) struct Full {
-    pub(super) no_place: Vec<Arc<Spec>>,
+    /// Demands, and for how many tasks of them there is room at most.
+    pub(super) room: Vec<(Arc<Spec>, u32)>,
     pub(super) no_victims: Vec<(Ranked, Arc<Spec>, u32)>,
 }
 
@@ -34,7 +35,20 @@
     }
 
     pub(crate) fn has_no_place(&self, spec: &Spec) -> bool {
-        self.no_place.iter().any(|a| Self::covers(a, spec))
+        self.lacks_room(spec, 1)
+    }
+
+    /// Is there room for less than `need` tasks of this shape?
+    pub(super) fn lacks_room(&self, spec: &Spec, need: u32) -> bool {
+        self.room.iter().any(|(a, most)| *most < need && Self::covers(a, spec))
+    }
+
+    /// There is room for so many tasks of this shape.
+    pub(super) fn found_room(&mut self, spec: &Arc<Spec>, most: u32) {
+        match self.room.iter_mut().find(|(a, _)| Self::covers(a, spec) && Self::covers(spec, a)) {
+            Some((_, known)) => *known = most.min(*known),
+            None => self.room.push((spec.clone(), most)),
+        }
     }
 
     pub(crate) fn none_to_stop(&self, r: Ranked, spec: &Spec, need: u32) -> bool {
@@ -65,6 +79,17 @@
 
     /// One pass: every waiting task that can be placed is put on a machine's list.
     pub fn place(&mut self, now: u64) {
+        self.pass(now, true);
+    }
+
+    /// The same, with every job looking for itself; for tests.
+    #[cfg(any(test, feature = "testing"))]
+    pub fn place_plainly(&mut self, now: u64) {
+        self.pass(now, false);
+    }
+
+    /// `shared`: jobs make use of what others found out in the same pass.
+    fn pass(&mut self, now: u64, shared: bool) {
         self.stir = false;
         self.passed = now;
         let unknown = self.unknown_usage();
@@ -74,6 +99,7 @@
         let ranked = self.ranked(&self.needs, now);
         let mut slots = self.slots(now);
         let order: Order = ranked.iter().map(|r| (r.id, *r)).collect();
+        let held = self.held(now);
         let mut full = Full::default();
         for r in &ranked {
             let Some(job) = self.jobs.get(&r.id) else { continue };
@@ -101,23 +127,36 @@
             let plain = job.failed_on.is_empty()
                 && !spec.one_zone
                 && !spec.spread
-                && slots.iter().all(|s| s.reserved != Some(r.id));
-            let skip = plain && full.has_no_place(&spec);
+                // Before its turn nobody keeps a machine for it but earlier passes.
+                && !held.contains_key(&r.id);
+            let skip = plain && shared && full.has_no_place(&spec);
+            let gang = spec.shape == Shape::Gang;
             let wait = match spec.shape {
                 _ if skip && self.team_room(&spec) == 0 => Wait::TeamLimit,
-                Shape::Gang => self.place_gang(r.id, &spec, &mut slots, now, skip),
+                Shape::Gang => {
+                    let short = skip || (plain && shared && full.lacks_room(&spec, need));
+                    self.place_gang(r.id, &spec, &mut slots, now, short)
+                }
                 _ if skip => Wait::NoRoom,
                 _ => self.place_single(r.id, &spec, &mut slots, now),
             };
-            if wait == Wait::NoRoom && plain && !skip && !slots.iter().any(|s| s.open_to(&spec)) {
-                full.no_place.push(spec.clone());
+            if held.contains_key(&r.id) && !slots.iter().any(|s| s.reserved == Some(r.id)) {
+                // What was kept for it is there for others now: there may be more room than was found.
+                full.room.clear();
+            }
+            if shared && wait == Wait::NoRoom && plain && !skip && !full.lacks_room(&spec, need) {
+                // A gang found too little for all of it, a single task none at all.
+                let most = slots.iter().map(|s| s.open_room(&spec)).sum();
+                if gang || most == 0 {
+                    full.found_room(&spec, most);
+                }
             }
             let Some(job) = self.jobs.get_mut(&r.id) else { continue };
             job.wait = wait;
             if wait == Wait::TeamLimit {
                 // As below: looking through all that runs is dear.
                 let futile = now < job.look_at || !self.lower_work(&spec);
-                if spec.shape != Shape::Gang && !futile && slots.iter().any(|s| s.open_to(&spec)) {
+                if !gang && !futile && slots.iter().any(|s| s.open_to(&spec)) {
                     let found = self.make_team_room(r.id, &spec, now);
                     if let Some(job) = self.jobs.get_mut(&r.id) {
                         if found {
@@ -135,12 +174,14 @@
                 }
                 // Looking through all that runs is dear: a search that came to nothing is not
                 // repeated within a second, nor in this pass for those who could stop no more.
-                let kept = slots.iter().any(|s| s.reserved == Some(r.id));
-                let futile = now < job.look_at || (plain && full.none_to_stop(*r, &spec, need));
+                let kept = held.contains_key(&r.id)
+                    && slots.iter().any(|s| s.reserved == Some(r.id));
+                let none = || plain && shared && full.none_to_stop(*r, &spec, need);
+                let futile = now < job.look_at || none();
                 let found = if futile {
                     kept
                 } else {
-                    let found = self.make_room(*r, &spec, &mut slots, &order, now);
+                    let found = self.make_room(*r, &spec, &mut slots, (&order, &held), now);
                     if !found {
                         if let Some(job) = self.jobs.get_mut(&r.id) {
                             job.look_at = now + LOOK_MS;
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -4,13 +4,14 @@
 use crate::placement::slots::Slot;
 use crate::state::cell::Cell;
 use crate::state::job::Spec;
-use crate::state::machine::{Entry, RESERVE_MS, Seen};
+use crate::state::machine::{Entry, Machine, RESERVE_MS, Seen};
 use crate::state::names::*;
 use crate::state::served;
 use copperhaven_fairness::Class;
 use copperhaven_fairness::loss::{FOR_EQUALS, FOR_HIGHER};
 use copperhaven_wire::jobs::Shape;
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
 
 /// Arrays in need have at most one of so many machines kept for them.
 const KEPT: usize = 4;
@@ -22,7 +23,85 @@
 type Victim = (JobId, u32, bool);
 
 /// The order of service of a pass, by job.
-pub(crate) type Order = HashMap<JobId, Ranked>;
+pub(crate) type Order = FxHashMap<JobId, Ranked>;
+
+/// The machines that were kept for jobs when the pass began, usable or not.
+pub(crate) type Held = FxHashMap<JobId, Vec<MachineId>>;
+
+/// What a job that looks for room may have of another's, the same on all machines.
+#[derive(Clone, Copy)]
+struct Stance<'a> {
+    spec: &'a Spec,
+    /// Its tasks may be stopped.
+    may: bool,
+}
+
+/// A job that looks for room, and what it has found out of others.
+struct Asker<'a> {
+    cell: &'a Cell,
+    r: Ranked,
+    patient: bool,
+    spec: &'a Spec,
+    order: &'a Order,
+    short: bool,
+    known: RefCell<FxHashMap<JobId, Option<Stance<'a>>>>,
+}
+
+impl<'a> Asker<'a> {
+    /// None: the job is not there any more.
+    fn stance(&self, id: JobId) -> Option<Stance<'a>> {
+        *self.known.borrow_mut().entry(id).or_insert_with(|| {
+            let v = &*self.cell.jobs.get(&id)?.spec;
+            Some(Stance { spec: v, may: self.may_stop(id, v) })
+        })
+    }
+
+    fn may_stop(&self, id: JobId, v: &Spec) -> bool {
+        let (spec, r) = (self.spec, &self.r);
+        let guest = |s: &Spec| self.cell.settings.deployment.teams[s.team.ix()].is_guest();
+        // Guests take what is left, and stop each other's work only.
+        let lower = v.precedence > spec.precedence && (!guest(spec) || guest(v));
+        let other = self.order.get(&id);
+        let beyond = r.guaranteed
+            && v.team != spec.team
+            && !other.is_none_or(|v| v.guaranteed)
+            && v.precedence >= spec.precedence;
+        let part = if lower { FOR_HIGHER } else { FOR_EQUALS };
+        (lower || beyond)
+            && (!self.patient || guest(v))
+            && !other.is_some_and(|v| r.spares(v))
+            // Found on paired seeds of a small site: bounded at all times, losses kept gangs waiting on
+            // days without overload.
+            && (!self.short
+                || guest(v)
+                || self.cell.service.may_lose(Class(v.class.0), part))
+    }
+
+    /// While somebody is served too little, whoever's turn it is waits for what runs out soon: small
+    /// tasks would take every place that gets free, and it none.
+    fn waits(&self) -> bool {
+        self.short && (self.spec.shape == Shape::Gang || self.r.class_need.is_some())
+    }
+
+    /// Could a task of it fit on this machine if all went that it could ask for at most?
+    fn could_fit(&self, m: &Machine, slot: &Slot) -> bool {
+        let mut free = slot.bare();
+        let waits = self.waits();
+        let mut last: Option<(JobId, Option<Stance>)> = None;
+        for ((id, _), e) in &m.entries {
+            let stance = match last {
+                Some((of, stance)) if of == *id => stance,
+                _ => self.stance(*id),
+            };
+            last = Some((*id, stance));
+            let Some(s) = stance else { return false };
+            if e.stop.is_some() || s.may || (waits && s.spec.shape == Shape::Array) {
+                free.take_back(s.spec);
+            }
+        }
+        free.fits(self.spec) > 0
+    }
+}
 
 impl Cell {
     /// Stops tasks to make room: those of lower priority; and, for a job within its team's
@@ -33,16 +112,18 @@
         r: Ranked,
         spec: &Spec,
         slots: &mut [Slot],
-        order: &Order,
+        (order, held): (&Order, &Held),
         now: u64,
     ) -> bool {
         // Until then an array within its guarantee stops guests only.
         let patient = spec.shape == Shape::Array && !self.array_may_preempt(r, now);
         // One in need has machines kept for it until smaller tasks there have run out: they would
         // take each place that gets free before it is large enough. Not all machines at once.
-        let kept = slots.iter().filter(|s| s.reserved.is_some()).count();
-        let most = slots.len().div_ceil(KEPT).saturating_sub(kept);
-        let collects = spec.shape == Shape::Array && r.class_need.is_some() && most > 0;
+        let needy = spec.shape == Shape::Array && r.class_need.is_some();
+        let kept = || slots.iter().filter(|s| s.reserved.is_some()).count();
+        let most =
+            if needy { slots.len().div_ceil(KEPT).saturating_sub(kept()) } else { 0 };
+        let collects = needy && most > 0;
         if patient && !collects && !(r.guaranteed && self.guests_run()) {
             return false;
         }
@@ -51,15 +132,10 @@
         if spec.shape != Shape::Gang {
             need = need.min(self.team_room(spec)).min(32);
         }
-        let held: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.reserved.is_some_and(|(id, until)| id == r.id && now < until))
-            .map(|(mid, _)| *mid)
-            .collect();
+        let held: &[MachineId] = held.get(&r.id).map_or(&[], Vec::as_slice);
         // What the machines already held for it will give once they are free.
         let short = self.needs.any();
-        for mid in &held {
+        for mid in held {
             let m = &self.machines[mid];
             let mut free = Slot::on(*mid, m);
             for ((v, _), e) in &m.entries {
@@ -74,6 +150,8 @@
         if need == 0 {
             return !held.is_empty();
         }
+        let asker =
+            Asker { cell: self, r, patient, spec, order, short, known: RefCell::default() };
         let mut plans = Vec::new();
         for (i, s) in slots.iter().enumerate() {
             let taken = s.reserved.is_some() || held.contains(&s.mid);
@@ -81,8 +159,7 @@
             if taken || barred || !s.allowed(spec) {
                 continue;
             }
-            if let Some((cost, n, victims)) = self.victims((r, patient), spec, s, order, need, now)
-            {
+            if let Some((cost, n, victims)) = self.victims(&asker, s, need, now) {
                 let image = if s.images.contains(&spec.image) { 0.0 } else { spec.image_gb * 50.0 };
                 plans.push(((cost + image) / f64::from(n), i, n, victims));
             }
@@ -139,6 +216,17 @@
         any
     }
 
+    /// The machines that are kept for jobs, by job.
+    pub(super) fn held(&self, now: u64) -> Held {
+        let mut held = Held::default();
+        for (mid, m) in &self.machines {
+            if let Some((id, _)) = m.reserved.filter(|(_, until)| now < *until) {
+                held.entry(id).or_default().push(*mid);
+            }
+        }
+        held
+    }
+
     /// For how long a task has run, as far as this leader knows, in seconds.
     fn ran_s(&self, e: &Entry, now: u64) -> f64 {
         let since = e.running_at.max(self.taken);
@@ -201,56 +289,34 @@
     /// the work lost, in CPU seconds.
     fn victims(
         &self,
-        (r, patient): (Ranked, bool),
-        spec: &Spec,
+        asker: &Asker,
         slot: &Slot,
-        order: &Order,
         need: u32,
         now: u64,
     ) -> Option<Victims> {
         let m = self.machines.get(&slot.mid)?;
-        let mut free = slot.clone();
-        let short = self.needs.any();
+        if !asker.could_fit(m, slot) {
+            return None;
+        }
+        let spec = asker.spec;
+        let mut free = slot.bare();
         let mut list: Vec<(f64, Victim)> = Vec::new();
         for ((id, task), e) in &m.entries {
-            let v = self.jobs.get(id)?;
+            let Stance { spec: v, may } = asker.stance(*id)?;
             if e.stop.is_some() {
-                free.take_back(&v.spec);
-                continue;
-            }
-            let guest = |s: &Spec| self.settings.deployment.teams[s.team.ix()].is_guest();
-            // Guests take what is left, and stop each other's work only.
-            let lower = v.spec.precedence > spec.precedence && (!guest(spec) || guest(&v.spec));
-            let beyond = r.guaranteed
-                && v.spec.team != spec.team
-                && !order.get(id).is_none_or(|v| v.guaranteed)
-                && v.spec.precedence >= spec.precedence;
-            let part = if lower { FOR_HIGHER } else { FOR_EQUALS };
-            let may = (lower || beyond)
-                && (!patient || guest(&v.spec))
-                && !order.get(id).is_some_and(|v| r.spares(v))
-                // Found on paired seeds of a small site: bounded at all times, losses kept gangs waiting on
-                // days without overload.
-                && (!short
-                    || guest(&v.spec)
-                    || self.service.may_lose(Class(v.spec.class.0), part));
-            if !may {
-                // While somebody is served too little, whoever's turn it is waits for what runs out
-                // soon: small tasks would take every place that gets free, and it none.
-                let waits = spec.shape == Shape::Gang || r.class_need.is_some();
-                if short && waits && self.runs_out(&v.spec, e, now) {
-                    let idle = self.rest_s(&v.spec, e, now) * v.spec.cpus;
-                    list.push((idle, (*id, *task, true)));
-                }
-                continue;
+                free.take_back(v);
+            } else if may {
+                let gang = if v.shape == Shape::Gang { f64::from(v.tasks) } else { 1.0 };
+                let lost = self.lost_s(v, e, now);
+                list.push(((lost + 1.0) * v.cpus * gang, (*id, *task, false)));
+            } else if asker.waits() && self.runs_out(v, e, now) {
+                let idle = self.rest_s(v, e, now) * v.cpus;
+                list.push((idle, (*id, *task, true)));
             }
-            let gang = if v.spec.shape == Shape::Gang { f64::from(v.spec.tasks) } else { 1.0 };
-            let lost = self.lost_s(&v.spec, e, now);
-            list.push(((lost + 1.0) * v.spec.cpus * gang, (*id, *task, false)));
         }
-        let mut all = free.clone();
+        let mut all = free.bare();
         for (_, (id, ..)) in &list {
-            all.take_back(&self.jobs.get(id)?.spec);
+            all.take_back(asker.stance(*id)?.spec);
         }
         if all.fits(spec) == 0 {
             return None;
@@ -266,8 +332,8 @@
         };
         step(&free, 0.0, 0);
         for (c, victim) in list {
-            let Some(v) = self.jobs.get(&victim.0) else { continue };
-            free.take_back(&v.spec);
+            let Some(v) = asker.stance(victim.0) else { continue };
+            free.take_back(v.spec);
             cost += c;
             victims.push(victim);
             step(&free, cost, victims.len());
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -5,6 +5,10 @@
 use crate::state::job::{EPS, Spec};
 use crate::state::machine::Machine;
 use crate::state::names::*;
+use smallvec::SmallVec;
+
+/// Images on a machine, mostly so few that none of them needs memory of its own.
+pub type Images = SmallVec<[ImageId; 6]>;
 
 /// A machine with what is free on it.
 #[derive(Debug, Clone)]
@@ -16,7 +20,7 @@
     pub cpus: f64,
     pub cards: f64,
     pub mem_gb: f64,
-    pub images: Vec<ImageId>,
+    pub images: Images,
     /// Bytes that the machine's record still has for groups of tasks, each placed at once.
     pub record: usize,
     pub reserved: Option<JobId>,
@@ -33,12 +37,17 @@
             cpus: m.cpus - m.used_cpus,
             cards: m.cards - m.used_cards,
             mem_gb: m.mem_gb - m.used_mem,
-            images: vec![],
+            images: Images::new(),
             record: usize::MAX,
             reserved: None,
         }
     }
 
+    /// The same machine, to work out what could be free on it: without its images.
+    pub(super) fn bare(&self) -> Slot {
+        Slot { images: Images::new(), ..*self }
+    }
+
     /// How many tasks of this shape fit.
     pub fn fits(&self, spec: &Spec) -> u32 {
         let listed = (self.record.saturating_sub(GROUP_BYTES) / RANGE_BYTES).min(256) as u32;
@@ -46,12 +55,18 @@
             return 0;
         }
         let part = |free: f64, need: f64| {
-            if need <= 0.0 { 256.0 } else { ((free + EPS) / need).floor().clamp(0.0, 256.0) }
+            if need <= 0.0 { 256.0 } else { ((free + EPS) / need).clamp(0.0, 256.0) }
         };
-        part(self.cpus, spec.cpus)
+        // Whole tasks: what is cast is not negative.
+        let fit = part(self.cpus, spec.cpus)
             .min(part(self.mem_gb, spec.mem_gb))
-            .min(part(self.cards, spec.cards))
-            .min(f64::from(listed)) as u32
+            .min(part(self.cards, spec.cards)) as u32;
+        fit.min(listed)
+    }
+
+    /// How many tasks of this shape fit, with nobody else's reservation in the way.
+    pub(super) fn open_room(&self, spec: &Spec) -> u32 {
+        if self.reserved.is_none() && self.allowed(spec) { self.fits(spec) } else { 0 }
     }
 
     pub fn take(&mut self, spec: &Spec, n: u32) {
@@ -66,7 +81,7 @@
 
     /// Does at least one task fit here, with nobody else's reservation in the way?
     pub(crate) fn open_to(&self, spec: &Spec) -> bool {
-        self.reserved.is_none() && self.allowed(spec) && self.fits(spec) > 0
+        self.open_room(spec) > 0
     }
 
     pub fn allowed(&self, spec: &Spec) -> bool {
@@ -78,9 +93,14 @@
 
 impl Slot {
     pub fn take_back(&mut self, spec: &Spec) {
-        self.cpus += spec.cpus;
-        self.cards += spec.cards;
-        self.mem_gb += spec.mem_gb;
+        self.take_back_n(spec, 1);
+    }
+
+    pub(super) fn take_back_n(&mut self, spec: &Spec, n: u32) {
+        let n = f64::from(n);
+        self.cpus += spec.cpus * n;
+        self.cards += spec.cards * n;
+        self.mem_gb += spec.mem_gb * n;
     }
 }
 
--- a/crates/core/src/state/rates.rs
+++ b/crates/core/src/state/rates.rs
@@ -1,20 +1,20 @@
 //! How long tasks run (DESIGN, point 2).
 
 use crate::state::names::ClassId;
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 
 /// Mean run times of finished tasks, by pool and class. Only tasks that ended as `done` count, so
 /// a machine that fails its tasks fast does not look quick.
 #[derive(Debug)]
 pub struct Rates {
     window: f64,
-    by_pool: Vec<HashMap<ClassId, (f64, f64)>>,
-    by_class: HashMap<ClassId, (f64, f64)>,
+    by_pool: Vec<FxHashMap<ClassId, (f64, f64)>>,
+    by_class: FxHashMap<ClassId, (f64, f64)>,
 }
 
 impl Rates {
     pub fn new(pools: usize, window: f64) -> Rates {
-        Rates { window, by_pool: vec![HashMap::new(); pools], by_class: HashMap::new() }
+        Rates { window, by_pool: vec![FxHashMap::default(); pools], by_class: FxHashMap::default() }
     }
 
     pub fn finished(&mut self, pool: usize, class: ClassId, seconds: f64) {
