A search for room that found tasks being stopped is repeated after 250 ms, not in each pass

Cause: of 83,572 searches in 200 emulated seconds of a flood 76,864 found something, mostly the same stopping tasks again: 20 searches a pass.

Change: who waits for tasks that are being stopped looks again after 250 ms; none of them leaves its machine sooner than its next report.

--- a/crates/core/examples/flood.rs
+++ b/crates/core/examples/flood.rs
@@ -282,7 +282,8 @@
                     }
                 });
                 for d in std::mem::take(&mut self.cell.direct) {
-                    let i = (0..count).find(|i| format!("10.0.{}.{}:9", i / 250, i % 250) == d.addr);
+                    let i =
+                        (0..count).find(|i| format!("10.0.{}.{}:9", i / 250, i % 250) == d.addr);
                     if let Some(i) = i {
                         self.execute(i, d.orders);
                     }
@@ -328,9 +329,13 @@
             let (s, most) = (took.as_secs_f64(), most.as_secs_f64() * 1000.0);
             let (mean, part) = (s * 1000.0 / *times as f64, s / seconds as f64);
             sum += part;
-            println!("| {machines} | {open} | {what} | {times} | {mean:.3} | {most:.1} | {part:.3} |");
+            println!(
+                "| {machines} | {open} | {what} | {times} | {mean:.3} | {most:.1} | {part:.3} |"
+            );
         }
         let (started, done) = (world.started, world.done);
-        println!("| {machines} | {open} | all, {started} tasks started, {done} done | | | | {sum:.3} |");
+        println!(
+            "| {machines} | {open} | all, {started} tasks started, {done} done | | | | {sum:.3} |"
+        );
     }
 }
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -14,6 +14,11 @@
 /// A job that found nobody to stop looks again after this long.
 const LOOK_MS: u64 = 1000;
 
+/// One that waits for tasks that are being stopped looks for more after this long: none of them leaves its
+/// machine sooner. Found at half as many machines again: nine of ten searches of a flood found the same tasks
+/// once more, in each pass.
+const AGAIN_MS: u64 = 250;
+
 /// What one pass has found out: with these demands there is no place, and nobody to stop. Places
 /// only get fewer within a pass, so whoever needs at least as much need not look.
 #[derive(Default)]
@@ -152,7 +157,7 @@
                 }
             }
             let Some(job) = self.jobs.get_mut(&r.id) else { continue };
-            job.wait = wait;
+            let was = std::mem::replace(&mut job.wait, wait);
             if wait == Wait::TeamLimit {
                 // As below: looking through all that runs is dear.
                 let futile = now < job.look_at || !self.lower_work(&spec);
@@ -174,18 +179,18 @@
                 }
                 // Looking through all that runs is dear: a search that came to nothing is not
                 // repeated within a second, nor in this pass for those who could stop no more.
-                let kept = held.contains_key(&r.id)
-                    && slots.iter().any(|s| s.reserved == Some(r.id));
+                let kept =
+                    held.contains_key(&r.id) && slots.iter().any(|s| s.reserved == Some(r.id));
                 let none = || plain && shared && full.none_to_stop(*r, &spec, need);
                 let futile = now < job.look_at || none();
                 let found = if futile {
-                    kept
+                    kept || (now < job.look_at && was == Wait::Stopping)
                 } else {
                     let found = self.make_room(*r, &spec, &mut slots, (&order, &held), now);
+                    if let Some(job) = self.jobs.get_mut(&r.id) {
+                        job.look_at = now + if found { AGAIN_MS } else { LOOK_MS };
+                    }
                     if !found {
-                        if let Some(job) = self.jobs.get_mut(&r.id) {
-                            job.look_at = now + LOOK_MS;
-                        }
                         if plain && (spec.shape != Shape::Array || self.array_may_preempt(*r, now))
                         {
                             full.no_victims.push((*r, spec.clone(), need));
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -121,8 +121,7 @@
         // take each place that gets free before it is large enough. Not all machines at once.
         let needy = spec.shape == Shape::Array && r.class_need.is_some();
         let kept = || slots.iter().filter(|s| s.reserved.is_some()).count();
-        let most =
-            if needy { slots.len().div_ceil(KEPT).saturating_sub(kept()) } else { 0 };
+        let most = if needy { slots.len().div_ceil(KEPT).saturating_sub(kept()) } else { 0 };
         let collects = needy && most > 0;
         if patient && !collects && !(r.guaranteed && self.guests_run()) {
             return false;
@@ -150,8 +149,7 @@
         if need == 0 {
             return !held.is_empty();
         }
-        let asker =
-            Asker { cell: self, r, patient, spec, order, short, known: RefCell::default() };
+        let asker = Asker { cell: self, r, patient, spec, order, short, known: RefCell::default() };
         let mut plans = Vec::new();
         for (i, s) in slots.iter().enumerate() {
             let taken = s.reserved.is_some() || held.contains(&s.mid);
@@ -287,13 +285,7 @@
 
     /// The cheapest tasks to stop on one machine so that tasks of `spec` fit there; cost counts
     /// the work lost, in CPU seconds.
-    fn victims(
-        &self,
-        asker: &Asker,
-        slot: &Slot,
-        need: u32,
-        now: u64,
-    ) -> Option<Victims> {
+    fn victims(&self, asker: &Asker, slot: &Slot, need: u32, now: u64) -> Option<Victims> {
         let m = self.machines.get(&slot.mid)?;
         if !asker.could_fit(m, slot) {
             return None;
