--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -87,14 +87,13 @@
         self.pass(now, true);
     }
 
-    /// The same, with every job looking for itself; for tests.
+    /// The same without bounds on room for gangs and on what could be stopped; for tests.
     #[cfg(any(test, feature = "testing"))]
     pub fn place_plainly(&mut self, now: u64) {
         self.pass(now, false);
     }
 
-    /// `shared`: jobs make use of what others found out in the same pass.
-    fn pass(&mut self, now: u64, shared: bool) {
+    fn pass(&mut self, now: u64, bounds: bool) {
         self.stir = false;
         self.passed = now;
         let unknown = self.unknown_usage();
@@ -134,12 +133,12 @@
                 && !spec.spread
                 // Before its turn nobody keeps a machine for it but earlier passes.
                 && !held.contains_key(&r.id);
-            let skip = plain && shared && full.has_no_place(&spec);
+            let skip = plain && full.has_no_place(&spec);
             let gang = spec.shape == Shape::Gang;
             let wait = match spec.shape {
                 _ if skip && self.team_room(&spec) == 0 => Wait::TeamLimit,
                 Shape::Gang => {
-                    let short = skip || (plain && shared && full.lacks_room(&spec, need));
+                    let short = skip || (plain && full.lacks_room(&spec, need));
                     self.place_gang(r.id, &spec, &mut slots, now, short)
                 }
                 _ if skip => Wait::NoRoom,
@@ -149,10 +148,10 @@
                 // What was kept for it is there for others now: there may be more room than was found.
                 full.room.clear();
             }
-            if shared && wait == Wait::NoRoom && plain && !skip && !full.lacks_room(&spec, need) {
+            if wait == Wait::NoRoom && plain && !skip && !full.lacks_room(&spec, need) {
                 // A gang found too little for all of it, a single task none at all.
                 let most = slots.iter().map(|s| s.open_room(&spec)).sum();
-                if gang || most == 0 {
+                if (gang && bounds) || most == 0 {
                     full.found_room(&spec, most);
                 }
             }
@@ -181,12 +180,12 @@
                 // repeated within a second, nor in this pass for those who could stop no more.
                 let kept =
                     held.contains_key(&r.id) && slots.iter().any(|s| s.reserved == Some(r.id));
-                let none = || plain && shared && full.none_to_stop(*r, &spec, need);
+                let none = || plain && full.none_to_stop(*r, &spec, need);
                 let futile = now < job.look_at || none();
                 let found = if futile {
                     kept || (now < job.look_at && was == Wait::Stopping)
                 } else {
-                    let found = self.make_room(*r, &spec, &mut slots, (&order, &held), now);
+                    let found = self.make_room(*r, &spec, &mut slots, (&order, &held, bounds), now);
                     if let Some(job) = self.jobs.get_mut(&r.id) {
                         job.look_at = now + if found { AGAIN_MS } else { LOOK_MS };
                     }
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -44,6 +44,8 @@
     spec: &'a Spec,
     order: &'a Order,
     short: bool,
+    /// Are machines left on which nothing could fit, before their tasks are weighed?
+    bounds: bool,
     known: RefCell<FxHashMap<JobId, Option<Stance<'a>>>>,
 }
 
@@ -112,7 +114,7 @@
         r: Ranked,
         spec: &Spec,
         slots: &mut [Slot],
-        (order, held): (&Order, &Held),
+        (order, held, bounds): (&Order, &Held, bool),
         now: u64,
     ) -> bool {
         // Until then an array within its guarantee stops guests only.
@@ -149,7 +151,8 @@
         if need == 0 {
             return !held.is_empty();
         }
-        let asker = Asker { cell: self, r, patient, spec, order, short, known: RefCell::default() };
+        let asker =
+            Asker { cell: self, r, patient, spec, order, short, bounds, known: RefCell::default() };
         let mut plans = Vec::new();
         for (i, s) in slots.iter().enumerate() {
             let taken = s.reserved.is_some() || held.contains(&s.mid);
@@ -287,7 +290,7 @@
     /// the work lost, in CPU seconds.
     fn victims(&self, asker: &Asker, slot: &Slot, need: u32, now: u64) -> Option<Victims> {
         let m = self.machines.get(&slot.mid)?;
-        if !asker.could_fit(m, slot) {
+        if asker.bounds && !asker.could_fit(m, slot) {
             return None;
         }
         let spec = asker.spec;
