A leader that ends and is back at once takes its predecessor's place, proven by its port

Need: a process that ends may be started again within a fraction of a second.

Change: the leader's record tells the address on which its process listens for its peers. A process that finds the key under its own name and that address, on which it listens itself, has outlived it: it takes the key in one transaction on its stamp. One that ended twice within half a minute gives the key up and leaves the others the first try. What the version before wrote tells no address, and is waited for as ever.

--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -3,17 +3,20 @@
 pub mod commits;
 pub mod load;
 pub mod probes;
+pub mod returns;
 pub mod ticks;
 
 use crate::dealings;
 use crate::leadership::{
     commits::commits,
     load::{load, read_ends, record_flavors},
+    returns::succeed,
     ticks::ticks,
 };
 use crate::node::Node;
 use crate::store::Outcome;
 use copperhaven_core::records::*;
+use copperhaven_reach::returns::Verdict;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -25,6 +28,8 @@
 /// Follows, stands for election when nobody leads, leads; for ever.
 pub async fn run(node: Arc<Node>) {
     tokio::spawn(probes::run(node.clone()));
+    // It has not seen the leader's key since its start.
+    let mut first = true;
     loop {
         if node.state.lock().expect("lock").flavors.is_none() {
             // Workers' leases run while nobody leads: the types that an earlier leader recorded
@@ -44,21 +49,29 @@
             continue;
         }
         let sent = node.now();
-        let leader = node.store.get::<LeaderRecord>(LEADER).await;
+        let leader = node.store.leased::<LeaderRecord>(LEADER).await;
         node.state_asked(sent, leader.is_ok());
         node.state_service(leader.as_ref().err());
         match leader {
-            Ok(Some((record, _))) => {
+            Ok(Some((record, stamp, lease))) => {
+                let verdict = returns::verdict(&node, &record, first);
+                // Until it listens itself it can't tell whose its own name is.
+                first &= record.member == node.settings.member && node.seat().is_none();
+                if verdict != Verdict::Others {
+                    succeed(&node, verdict, (record.term, stamp, lease)).await;
+                    continue;
+                }
                 let ix = node.cluster.members.iter().position(|m| *m == record.member);
                 node.heard_term(record.term, ix);
                 sleep(ms(350 + rand::random::<u64>() % 100)).await;
             }
             Ok(None) => {
+                first = false;
                 if !my_turn(&node).await {
                     continue;
                 }
-                if let Some((term, stamp, lease, sent)) = elect(&node).await {
-                    lead(&node, term, stamp, lease, sent).await;
+                if let Some(won) = elect(&node, 0, 0).await {
+                    lead(&node, won, "no leader was there").await;
                 }
                 sleep(ms(50 + rand::random::<u64>() % 150)).await;
             }
@@ -104,8 +117,17 @@
     }
 }
 
-/// Raises the term and takes the leader key in one transaction. An unknown outcome is read back.
-async fn elect(node: &Node) -> Option<(u64, u64, u64, u64)> {
+/// A term that was won: its number, the stamp of the leader key, its lease, and when that was asked for.
+struct Won {
+    term: u64,
+    stamp: u64,
+    lease: u64,
+    sent: u64,
+}
+
+/// Raises the term and takes the leader key in one transaction, provided that the key has the stamp `over`
+/// (0: there is none). An unknown outcome is read back.
+async fn elect(node: &Node, over: u64, returns: u64) -> Option<Won> {
     let ttl = node.settings.tuning.leader_lease_ms;
     let (old, term_stamp) = match node.store.get::<TermRecord>(TERM).await {
         Ok(Some((t, stamp))) => (t.term, stamp),
@@ -120,20 +142,27 @@
     let lease = node.store.lease(ttl).await.ok()?;
     // A term seen anywhere is never given out again, whatever the store says.
     let term = old.max(node.state.lock().expect("lock").top_term) + 1;
-    let record = LeaderRecord { member: node.settings.member.clone(), term, nonce: rand::random() };
+    let record = LeaderRecord {
+        member: node.settings.member.clone(),
+        term,
+        nonce: rand::random(),
+        seat: node.seat().map(Into::into),
+        at: Node::wall_ms(),
+        returns,
+    };
     let when =
-        [Cond { path: TERM.into(), stamp: term_stamp }, Cond { path: LEADER.into(), stamp: 0 }];
+        [Cond { path: TERM.into(), stamp: term_stamp }, Cond { path: LEADER.into(), stamp: over }];
     let apply = [
         Change::Put { put: TERM.into(), v: Record::Term(TermRecord { term }), charter: None },
         Change::Put { put: LEADER.into(), v: Record::Leader(record.clone()), charter: Some(lease) },
     ];
     match node.store.commit(&when, &apply).await {
-        Outcome::Applied(rev) => return Some((term, rev, lease, sent)),
+        Outcome::Applied(stamp) => return Some(Won { term, stamp, lease, sent }),
         Outcome::Unknown => {
             if let Ok(Some((seen, stamp))) = node.store.get::<LeaderRecord>(LEADER).await
                 && seen == record
             {
-                return Some((term, stamp, lease, sent));
+                return Some(Won { term, stamp, lease, sent });
             }
         }
         _ => {}
@@ -143,8 +172,9 @@
     None
 }
 
-async fn lead(node: &Arc<Node>, term: u64, stamp: u64, lease: u64, sent: u64) {
-    tracing::info!("leading: term {term} won, no leader was there");
+async fn lead(node: &Arc<Node>, won: Won, why: &str) {
+    let Won { term, stamp, lease, sent } = won;
+    tracing::info!("leading: term {term} won, {why}");
     node.heard_term(term, Some(node.cluster.me));
     node.state.lock().expect("lock").renewed = sent;
     let why = tokio::select! {
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -26,7 +26,7 @@
 use copperhaven_wire::cloud::WireFlavor;
 use std::collections::BTreeSet;
 use std::sync::atomic::AtomicU64;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::{Instant, timeout_at};
@@ -69,6 +69,7 @@
     pub refused: [AtomicU64; 3],
     doors: Mutex<Doors>,
     pub(super) reached: reach::Lock,
+    seat: OnceLock<String>,
 }
 
 /// What a request was refused for, as the metrics name it.
@@ -108,9 +109,19 @@
             refused: Default::default(),
             doors: Mutex::default(),
             reached: Mutex::default(),
+            seat: OnceLock::new(),
         }
     }
 
+    /// This process listens for its peers on this address, and will until it ends.
+    pub fn take_seat(&self, addr: &str) {
+        let _ = self.seat.set(addr.into());
+    }
+
+    pub(crate) fn seat(&self) -> Option<&str> {
+        self.seat.get().map(String::as_str)
+    }
+
     /// Milliseconds on the steady clock; never 0.
     pub fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64 + 1000
--- a/crates/controller/src/node/reach.rs
+++ b/crates/controller/src/node/reach.rs
@@ -207,7 +207,8 @@
     pub fn standing_wait(&self) -> u64 {
         let now = self.now();
         let wait = self.with_view(|s, view| s.wait_ms(view, now));
-        let started = now < STARTED_MS && !self.has_led();
+        let behind = self.reached.lock().expect("lock").standing.is_behind(now);
+        let started = now < STARTED_MS && !self.has_led() && !behind;
         if started { 0 } else { wait }
     }
 
@@ -221,6 +222,12 @@
         self.reached.lock().expect("lock").standing.gave_way(now);
     }
 
+    /// It ended as leader again and again: others stand first for a moment.
+    pub fn left_behind(&self) {
+        let now = self.now();
+        self.reached.lock().expect("lock").standing.left_behind(now);
+    }
+
     /// As leader since `elected`: the name of a controller to hand over to.
     pub fn outdone(&self, elected: u64) -> Option<&str> {
         let now = self.now();
--- a/crates/controller/src/peers.rs
+++ b/crates/controller/src/peers.rs
@@ -146,6 +146,8 @@
 
 pub async fn run(node: Arc<Node>) -> Result<(), ListenError> {
     let listener = listen(&node.settings.cluster_listen, "cluster_listen", PATIENCE).await?;
+    // Kept until the process ends: nobody else can have it before.
+    node.take_seat(&node.settings.cluster_listen);
     keep_links(&node);
     let most = Arc::new(Semaphore::new(32));
     loop {
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -49,6 +49,8 @@
     path: String,
     v: T,
     stamp: u64,
+    #[serde(default)]
+    charter: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -70,7 +72,12 @@
     /// Mostly all values are sound, and reading them leniently takes twice as long.
     fn read(body: &[u8]) -> Option<Self> {
         if let Ok(Page { pairs, more }) = rmp_serde::from_slice::<Page<T>>(body) {
-            let good = |i: Item<T>| Item { path: i.path, v: Lenient::Good(i.v), stamp: i.stamp };
+            let good = |i: Item<T>| Item {
+                path: i.path,
+                v: Lenient::Good(i.v),
+                stamp: i.stamp,
+                charter: i.charter,
+            };
             return Some(Page { pairs: pairs.into_iter().map(good).collect(), more });
         }
         rmp_serde::from_slice(body).ok()
@@ -106,11 +113,19 @@
         &self,
         key: &str,
     ) -> Result<Option<(T, u64)>, StoreError> {
+        Ok(self.leased(key).await?.map(|(v, stamp, _)| (v, stamp)))
+    }
+
+    /// A key's value and version, and the lease that it hangs on.
+    pub async fn leased<T: DeserializeOwned>(
+        &self,
+        key: &str,
+    ) -> Result<Option<(T, u64, Option<u64>)>, StoreError> {
         let answer = self.http.get(&self.addr, &format!("/store/{key}"), READ).await?;
         match answer.status {
             200 => {
                 if let Ok(item) = rmp_serde::from_slice::<Item<T>>(&answer.body) {
-                    return Ok(Some((item.v, item.stamp)));
+                    return Ok(Some((item.v, item.stamp, item.charter)));
                 }
                 let item: Item<IgnoredAny> = Self::decode(&answer)?;
                 Err(StoreError::Unreadable { key: key.into(), stamp: item.stamp })
@@ -153,7 +168,7 @@
             let page = Page::read(&answer.body).ok_or(StoreError::Malformed)?;
             last = page.pairs.last().map(|i| i.path.clone());
             let end = !page.more || last.is_none();
-            for Item { path, v, stamp } in page.pairs {
+            for Item { path, v, stamp, .. } in page.pairs {
                 match v {
                     Lenient::Good(v) => out.rows.push((path, v, stamp)),
                     Lenient::Bad(_) => out.bad.push((path, stamp)),
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -24,6 +24,20 @@
     pub member: String,
     pub term: u64,
     pub nonce: u64,
+    /// The address on which the process listens for its peers as long as it lives; none: not known to be so
+    /// (also from the version before). With it a successor of the same name proves that the process has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub seat: Option<String>,
+    /// When it was elected (time of day, milliseconds), and how often in a row right after its process had
+    /// ended.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub at: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub returns: u64,
+}
+
+fn is_zero(n: &u64) -> bool {
+    *n == 0
 }
 
 /// `c/term`: the highest term given out.
--- a/crates/reach/src/standing.rs
+++ b/crates/reach/src/standing.rs
@@ -6,6 +6,7 @@
 use crate::Member;
 use crate::facts::Facts;
 use crate::fitness::{Fitness, fitness};
+use crate::returns::BEHIND_MS;
 
 /// Whoever knows of a fitter one leaves it the first try.
 const AFTER_FITTER_MS: u64 = 800;
@@ -19,7 +20,7 @@
 const LATELY_MS: u64 = 120_000;
 
 /// Nobody waits longer than this.
-pub const MOST_WAIT_MS: u64 = ALONE_MS + MOST_AWAY_MS;
+pub const MOST_WAIT_MS: u64 = ALONE_MS + MOST_AWAY_MS + BEHIND_MS;
 
 /// A leader that is less fit than another for so long hands over; links that come and go don't move
 /// leadership.
@@ -33,6 +34,8 @@
 pub struct Standing {
     /// When it last gave way or handed over, and how often lately.
     away: Option<(u64, u32)>,
+    /// It ended again and again as leader: until then others stand first.
+    behind: u64,
     /// Since when, as leader, somebody else has been fitter.
     outdone: Option<(Member, u64)>,
 }
@@ -70,6 +73,16 @@
         self.outdone = None;
     }
 
+    /// It ended as leader again and again, and others had better lead.
+    pub fn left_behind(&mut self, now: u64) {
+        self.behind = now + BEHIND_MS;
+    }
+
+    /// Is it left behind?
+    pub fn is_behind(&self, now: u64) -> bool {
+        now < self.behind
+    }
+
     /// While nobody leads: how long to leave others the first try, counted from when that was seen.
     pub fn wait_ms(&self, view: &View, now: u64) -> u64 {
         let mine = view.fitness(view.me, &view.own, false);
@@ -89,6 +102,7 @@
             let away = GAVE_WAY_MS.saturating_mul(1 << (n - 1).min(8)).min(MOST_AWAY_MS);
             wait += away;
         }
+        wait += self.behind.saturating_sub(now);
         wait.min(MOST_WAIT_MS)
     }
 
