World: processes that end and are back, and two of one name; places wait when timers fire late

Need: ends after which a process is back within a fraction of a second; a leader with more to do than processor time for it.

Passes are spaced by how late the leader's timers fire; it says in its log when it falls behind and when it has caught up. A task whose team has no room is not looked a place for.

--- a/crates/controller/src/leadership/ticks.rs
+++ b/crates/controller/src/leadership/ticks.rs
@@ -24,6 +24,11 @@
 /// How long workers may need to find a new leader.
 const FIND_MS: u64 = 4000;
 
+/// The leader's beat; and when it counts as falling behind: so late, for so many beats in a row.
+const BEAT_MS: u64 = 100;
+const BEHIND_MS: u64 = 250;
+const BEHIND_BEATS: u32 = 10;
+
 /// How often it is recorded, and told in the log, what was served to whom: in beats of 100 ms.
 const RECORD_BEATS: u64 = 100;
 const LINE_BEATS: u64 = 600;
@@ -37,10 +42,14 @@
     let mut deaf = false;
     let taken = heard - FIND_MS;
     let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
+    let mut lag = 0;
+    let mut behind = 0;
     loop {
         let now = node.now();
         beat += 1;
+        behind = falls_behind(behind, lag);
         let direct = node.with_cell(term, |c, _| {
+            c.lag = lag;
             c.expire(now);
             c.follow(now);
             if beat.is_multiple_of(5) {
@@ -101,7 +110,27 @@
             return "a newer term was seen";
         }
         node.kick();
-        sleep(ms(100)).await;
+        let slept = node.now();
+        sleep(ms(BEAT_MS)).await;
+        lag = node.now().saturating_sub(slept + BEAT_MS);
+    }
+}
+
+/// Counts beats that came late in a row, and tells when the leader falls behind and when it has caught up.
+fn falls_behind(beats: u32, lag: u64) -> u32 {
+    match (lag > BEHIND_MS, beats) {
+        (true, BEHIND_BEATS) => {
+            tracing::warn!(
+                "falls behind: timers fire {lag} ms late, so tasks are placed less often"
+            );
+            BEHIND_BEATS + 1
+        }
+        (true, n) => (n + 1).min(BEHIND_BEATS + 1),
+        (false, n) if n > BEHIND_BEATS => {
+            tracing::info!("has caught up: timers fire in time again");
+            0
+        }
+        (false, _) => 0,
     }
 }
 
@@ -132,6 +161,21 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_leader_falls_behind_after_a_second_of_late_beats_and_says_so_once() {
+        let mut beats = 0;
+        let mut count = |lag| {
+            beats = falls_behind(beats, lag);
+            beats
+        };
+        for n in 1..=10 {
+            assert_eq!(count(300), n);
+        }
+        assert_eq!((count(300), count(300)), (11, 11), "told once");
+        assert_eq!((count(40), count(300)), (0, 1), "caught up, and a single late beat");
+        assert_eq!(count(250), 0);
+    }
+
     #[test]
     fn a_leader_that_hears_nobody_gives_way_soon() {
         // Six seconds before, whatever the deployment. Reports may all come at the same time.
--- a/crates/controller/tests/world/main.rs
+++ b/crates/controller/tests/world/main.rs
@@ -6,6 +6,7 @@
 //! random schedules of the core play. What is measured is printed with `--nocapture`.
 
 mod network;
+mod returns;
 mod schedules;
 mod services;
 mod workers;
@@ -14,13 +15,14 @@
 use copperhaven::leadership;
 use copperhaven::node::Node;
 use copperhaven::peers;
+use copperhaven::reply::Reply;
 use copperhaven_core::for_tests;
 use copperhaven_core::settings::Settings;
 use copperhaven_wire::encode;
 use copperhaven_wire::jobs::{JobBody, Shown};
 use network::{Host, Mode, Network};
 use services::{CLOUD, STATE, Store};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout};
@@ -33,6 +35,8 @@
     pub zones: Vec<&'static str>,
     pub store: Arc<Mutex<Store>>,
     nodes: Mutex<Vec<Arc<Node>>>,
+    /// Controllers whose process has ended and is not back yet.
+    down: Mutex<BTreeSet<usize>>,
     pub checker: Mutex<Checker>,
     users: Mutex<Users>,
 }
@@ -72,6 +76,13 @@
     pub changes: usize,
 }
 
+/// Runs a controller that has its own address to itself.
+fn run_node(ix: usize, node: Arc<Node>) {
+    node.take_seat(&format!("10.0.0.{ix}:1"));
+    peers::keep_links(&node);
+    tokio::spawn(leadership::run(node));
+}
+
 fn settings(controllers: usize, me: usize, zones: &[&str]) -> Settings {
     use std::fmt::Write;
     let mut text = format!(
@@ -120,14 +131,14 @@
             zones,
             store,
             nodes: Mutex::new(nodes.clone()),
+            down: Mutex::default(),
             checker: Mutex::default(),
             users: Mutex::default(),
             net,
         });
         for (ix, node) in nodes.into_iter().enumerate() {
             world.open_peer(ix);
-            peers::keep_links(&node);
-            tokio::spawn(leadership::run(node));
+            run_node(ix, node);
         }
         for (n, worker) in all.iter().enumerate() {
             workers::open(&world, worker);
@@ -137,6 +148,36 @@
         world
     }
 
+    /// The process of this controller ends, without a word.
+    pub fn end(&self, ix: usize) {
+        self.down.lock().expect("lock").insert(ix);
+        self.net.end(Host::Controller(ix));
+    }
+
+    /// It is started again, with the same settings.
+    pub fn back(&self, ix: usize) {
+        let settings = settings(self.count(), ix, &self.zones);
+        let node = Arc::new(Node::within(self.net.at(Host::Controller(ix)), settings));
+        self.nodes.lock().expect("lock")[ix] = node.clone();
+        self.down.lock().expect("lock").remove(&ix);
+        run_node(ix, node);
+    }
+
+    fn is_down(&self, ix: usize) -> bool {
+        self.down.lock().expect("lock").contains(&ix)
+    }
+
+    /// A request from outside to a controller's door, and the answer, if the same process lives to give it.
+    pub async fn ask(&self, from: Host, to: usize, op: Op, body: &[u8]) -> Option<Reply> {
+        if !self.net.pass(from, Host::Controller(to)).await || self.is_down(to) {
+            return None;
+        }
+        let node = self.node(to);
+        let reply = node.ask(op, body).await;
+        let lives = !self.is_down(to) && Arc::ptr_eq(&node, &self.node(to));
+        (lives && self.net.pass(Host::Controller(to), from).await).then_some(reply)
+    }
+
     fn open_peer(self: &Arc<Self>, ix: usize) {
         let world = self.clone();
         let accept = move |io| {
@@ -147,7 +188,11 @@
 
     /// Who leads, by its own word and with authority as users see it: at most one answers.
     pub fn leader(&self) -> Option<usize> {
-        (0..self.count()).filter(|ix| self.node(*ix).leads()).last()
+        self.leaders().last().copied()
+    }
+
+    fn leaders(&self) -> Vec<usize> {
+        (0..self.count()).filter(|ix| !self.is_down(*ix) && self.node(*ix).leads()).collect()
     }
 
     /// Watches for so long; what came of it is added up.
@@ -156,7 +201,7 @@
         let mut last = self.leader();
         while Instant::now() < end {
             sleep(Duration::from_millis(50)).await;
-            let leads: Vec<usize> = (0..self.count()).filter(|ix| self.node(*ix).leads()).collect();
+            let leads = self.leaders();
             assert!(leads.len() <= 1, "two with authority: {leads:?}");
             match leads.first() {
                 None => out.leaderless += Duration::from_millis(50),
@@ -237,19 +282,14 @@
     });
     let begun = Instant::now();
     for attempt in 0..60 {
-        let up: Vec<usize> = (0..world.count()).filter(|ix| world.node(*ix).up()).collect();
+        let up: Vec<usize> =
+            (0..world.count()).filter(|ix| !world.is_down(*ix) && world.node(*ix).up()).collect();
         let to = if up.is_empty() {
             (n + attempt) % world.count()
         } else {
             up[(n + attempt) % up.len()]
         };
-        let exchange = async {
-            if !world.net.pass(Host::Users, Host::Controller(to)).await {
-                return None;
-            }
-            let reply = world.node(to).ask(Op::Submit, &body).await;
-            world.net.pass(Host::Controller(to), Host::Users).await.then_some(reply)
-        };
+        let exchange = world.ask(Host::Users, to, Op::Submit, &body);
         let reply = timeout(Duration::from_secs(5), exchange).await.ok().flatten();
         let taken = reply.is_some_and(|r| r.status == 200 || r.status == 201);
         world.users.lock().expect("lock").answered(&uid, begun, taken);
--- a/crates/controller/tests/world/network.rs
+++ b/crates/controller/tests/world/network.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream, ReadHalf, WriteHalf, duplex};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 /// Where something runs. Workers of a zone share their links.
@@ -32,6 +33,9 @@
 const LATENCY: Duration = Duration::from_millis(1);
 const LOOK: Duration = Duration::from_millis(20);
 
+/// The life of a process: over once it has ended. What it had sent by then still arrives.
+pub type Life = watch::Sender<bool>;
+
 type Accept = Arc<dyn Fn(DuplexStream) + Send + Sync>;
 
 #[derive(Default)]
@@ -39,6 +43,8 @@
     cuts: Mutex<BTreeMap<(Host, Host), Mode>>,
     /// Who answers at an address.
     doors: Mutex<BTreeMap<String, (Host, Accept)>>,
+    /// The process that runs at a host, where that may end.
+    lives: Mutex<BTreeMap<Host, Arc<Life>>>,
 }
 
 impl Network {
@@ -74,14 +80,28 @@
         }
     }
 
-    /// The network as this host sees it.
+    /// The network as a new process of this host sees it, in place of any that was there.
     pub fn at(self: &Arc<Self>, host: Host) -> Net {
-        Net::Other(Arc::new(Seen { net: self.clone(), host }))
+        let life = Arc::new(watch::Sender::new(false));
+        self.lives.lock().expect("lock").insert(host, life.clone());
+        Net::Other(Arc::new(Seen { net: self.clone(), host, life }))
+    }
+
+    /// The process at this host ends: its connections do, and none is made any more.
+    pub fn end(&self, host: Host) {
+        if let Some(life) = self.lives.lock().expect("lock").get(&host) {
+            life.send_replace(true);
+        }
+    }
+
+    fn life(&self, host: Host) -> Option<Arc<Life>> {
+        self.lives.lock().expect("lock").get(&host).cloned()
     }
 
     async fn pump(
         self: Arc<Self>,
         (from, to): (Host, Host),
+        lives: [Option<Arc<Life>>; 2],
         mut read: ReadHalf<DuplexStream>,
         mut write: WriteHalf<DuplexStream>,
     ) {
@@ -90,6 +110,8 @@
             let n = tokio::select! {
                 n = read.read(&mut buffer) => n.unwrap_or(0),
                 () = self.refused(from, to) => 0,
+                () = over(&lives[0]) => 0,
+                () = over(&lives[1]) => 0,
             };
             // The end of a connection is held like anything else.
             let arrived = self.pass(from, to).await;
@@ -107,14 +129,26 @@
     }
 }
 
+/// Returns once the process has ended; never where none can.
+async fn over(life: &Option<Arc<Life>>) {
+    match life {
+        Some(life) => {
+            let _ = life.subscribe().wait_for(|over| *over).await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
 struct Seen {
     net: Arc<Network>,
     host: Host,
+    life: Arc<Life>,
 }
 
 impl Dial for Seen {
     fn dial(&self, addr: &str) -> Dialing {
         let (net, from, addr) = (self.net.clone(), self.host, addr.to_string());
+        let own = self.life.clone();
         Box::pin(async move {
             let refused = || Error::from(ErrorKind::ConnectionRefused);
             let door = net.doors.lock().expect("lock").get(&addr).cloned();
@@ -123,11 +157,16 @@
             if !net.pass(from, to).await || !net.pass(to, from).await {
                 return Err(refused());
             }
+            let other = net.life(to);
+            if *own.borrow() || other.as_ref().is_some_and(|life| *life.borrow()) {
+                return Err(refused());
+            }
+            let (here, there) = ([Some(own.clone()), other.clone()], [other, Some(own)]);
             let (near, a) = duplex(64 << 10);
             let (b, far) = duplex(64 << 10);
             let ((ra, wa), (rb, wb)) = (tokio::io::split(a), tokio::io::split(b));
-            tokio::spawn(net.clone().pump((from, to), ra, wb));
-            tokio::spawn(net.pump((to, from), rb, wa));
+            tokio::spawn(net.clone().pump((from, to), here, ra, wb));
+            tokio::spawn(net.pump((to, from), there, rb, wa));
             accept(far);
             Ok(near)
         })
--- a/crates/controller/tests/world/workers.rs
+++ b/crates/controller/tests/world/workers.rs
@@ -192,13 +192,7 @@
             (encode(&w.report(&world.zones)), w.shift)
         };
         let sent = Instant::now();
-        let exchange = async {
-            if !world.net.pass(here, Host::Controller(to)).await {
-                return None;
-            }
-            let reply = world.node(to).ask(Op::Report, &body).await;
-            world.net.pass(Host::Controller(to), here).await.then_some(reply)
-        };
+        let exchange = world.ask(here, to, Op::Report, &body);
         // Whatever is under way when its sender has given up still arrives.
         let reply = tokio::select! {
             reply = exchange => reply,
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -73,7 +73,8 @@
 impl Cell {
     /// How long until the next pass is due, if there is anything to place.
     pub fn pass_pause(&self, now: u64) -> Option<u64> {
-        self.stir.then(|| (self.passed + self.pass_gap).saturating_sub(now))
+        let gap = self.pass_gap.max((self.lag * 4).min(MOST_PASS_MS));
+        self.stir.then(|| (self.passed + gap).saturating_sub(now))
     }
 
     /// A pass took so long: with much that waits, or little processor, passes are further apart, so
--- a/crates/core/src/placement/singles.rs
+++ b/crates/core/src/placement/singles.rs
@@ -24,6 +24,10 @@
         slots: &mut [Slot],
         now: u64,
     ) -> Wait {
+        // Without room in the team's limit no machine need be looked at.
+        if self.team_room(spec) == 0 && self.jobs.get(&id).is_some_and(|j| !j.waiting.is_empty()) {
+            return Wait::TeamLimit;
+        }
         let mut order = self.candidates(id, spec, slots);
         if spec.shape == Shape::Service {
             // Replicas go where the job has fewest.
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -55,6 +55,9 @@
     pub passed: u64,
     /// How far apart passes are, in milliseconds.
     pub pass_gap: u64,
+    /// How late the leader's timers fire: it has more to do than processor time for it. Places are what it
+    /// can put off: renewals, reports, cancellations and submissions go on as they come.
+    pub lag: u64,
 }
 
 impl Cell {
@@ -94,6 +97,7 @@
             stir: true,
             passed: 0,
             pass_gap: PASS_MS,
+            lag: 0,
         }
     }
 
