--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -78,9 +78,9 @@
     }
 
     /// A pass took so long: with much that waits, or little processor, passes are further apart, so
-    /// that they never take more than a quarter of the time.
+    /// that they never take more than a ninth of the time.
     pub fn pass_took(&mut self, ms: u64) {
-        self.pass_gap = (ms * 4).clamp(PASS_MS, MOST_PASS_MS);
+        self.pass_gap = (ms * 8).clamp(PASS_MS, MOST_PASS_MS);
     }
 
     /// One pass: every waiting task that can be placed is put on a machine's list.
