Recovery: phases, squaring counted, a paced lane of orders, records read side by side

Need: after all controllers went down a successor read one kind of records after the other, sent every machine on record the new term at once, and rented and stopped others' work for places that were there but not heard yet.

Change: crate copperhaven-recovery. Kinds of records are read side by side, a thousand pairs a page. Machines that are on record and have not shown the term count as places until the bound of hearing, for rentals and for making room; nothing is placed there. Orders straight to workers go through a lane with a budget, halts before terms, and a term is not sent to whom its report's answer has told it. Phases and what was met are told in log and metrics.

--- a/crates/controller/src/leadership/load.rs
+++ b/crates/controller/src/leadership/load.rs
@@ -6,25 +6,34 @@
 use copperhaven_core::records::*;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_recovery::phase::Recovery;
 use tokio::time::sleep;
 
 /// Reads every record and puts the cell together. What machines may hold is a superset.
 pub(super) async fn load(node: &Node, term: u64, stamp: u64) -> Result<(), StoreError> {
-    let jobs = node.store.list::<JobRecord>("j/").await?;
-    let done = node.store.list::<DoneRecord>("d/").await?;
-    let machines = node.store.list::<MachineRecord>("m/").await?;
-    let rentals = node.store.list::<RentalRecord>("r/").await?;
-    let links = node.store.list::<LinksRecord>("a/").await?;
+    let begun = node.now();
+    let store = &node.store;
+    // Side by side: from the election on nobody but this leader changes them, and it does not yet.
+    let (jobs, done, machines, rentals, links, service, provided) = tokio::join!(
+        store.list::<JobRecord>("j/"),
+        store.list::<DoneRecord>("d/"),
+        store.list::<MachineRecord>("m/"),
+        store.list::<RentalRecord>("r/"),
+        store.list::<LinksRecord>("a/"),
+        store.list::<ServiceRecord>(SERVICE),
+        store.get::<ProvidedRecord>(PROVIDED),
+    );
+    let (jobs, done, machines, rentals, links) = (jobs?, done?, machines?, rentals?, links?);
     // No rule rests on what was served to whom: without it the order of service starts from what is
     // open.
-    let service = match node.store.list::<ServiceRecord>(SERVICE).await {
+    let service = match service {
         Ok(list) => list.rows,
         Err(e) => {
             tracing::warn!("what was served to whom is not known, so it starts anew: {e}");
             vec![]
         }
     };
-    let provided = match node.store.get::<ProvidedRecord>(PROVIDED).await {
+    let provided = match provided {
         Ok(provided) => provided.map(|(p, _)| p.machines),
         // Only what is kept up without work depends on it: none is.
         Err(e @ StoreError::Unreadable { .. }) => {
@@ -38,6 +47,8 @@
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
     let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
+    let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
+    cell.recovery = Recovery::begin(begun, report_ms);
     let read = Records {
         jobs: jobs.rows,
         done: done.rows,
@@ -50,7 +61,8 @@
     rebuild(&mut cell, read, now, Node::wall_ms());
     cell.fleet.provided = provided;
     let (j, m) = (cell.jobs.len(), cell.machines.len());
-    tracing::info!("term {term} has {j} open jobs and {m} machines on record");
+    let took = node.now() - begun;
+    tracing::info!("term {term} has {j} open jobs and {m} machines on record, read in {took} ms");
     node.state.lock().expect("lock").cell = Some(cell);
     Ok(())
 }
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -65,6 +65,9 @@
                 node.heard_term(record.term, ix);
                 sleep(ms(350 + rand::random::<u64>() % 100)).await;
             }
+            // Found with two processes of one name: whom no peer can reach must not lead. It listens at
+            // once, or ends.
+            Ok(None) if node.seat().is_none() => sleep(ms(50)).await,
             Ok(None) => {
                 first = false;
                 if !my_turn(&node).await {
--- a/crates/controller/src/leadership/tests.rs
+++ b/crates/controller/src/leadership/tests.rs
@@ -97,7 +97,7 @@
         run(async {
             let service = stand_in(&[(TERM, v.clone())]);
             let node = service.clone().node().await;
-            assert_eq!(elect(&node).await.map(|(term, ..)| term), won, "{v}");
+            assert_eq!(elect(&node, 0, 0).await.map(|won| won.term), won, "{v}");
             let named = node.state.lock().expect("lock").unreadable.contains(TERM);
             assert_eq!(named, won.is_none(), "{v}");
             let wrote = service.asked.lock().expect("lock").iter().any(|a| a == "POST /commit");
--- a/crates/controller/src/leadership/ticks.rs
+++ b/crates/controller/src/leadership/ticks.rs
@@ -2,8 +2,8 @@
 
 use crate::leadership::ms;
 use crate::node::Node;
-use copperhaven_core::state::machine::Direct;
-use copperhaven_wire::workers::{Orders, Report};
+use copperhaven_core::state::cell::Cell;
+use copperhaven_recovery::phase::Phase;
 use std::sync::Arc;
 use tokio::time::sleep;
 
@@ -50,6 +50,7 @@
         behind = falls_behind(behind, lag);
         let direct = node.with_cell(term, |c, _| {
             c.lag = lag;
+            tell_recovery(c, now);
             c.expire(now);
             c.follow(now);
             if beat.is_multiple_of(5) {
@@ -102,10 +103,7 @@
             tracing::info!("handing over: {to} reaches the workers, this controller none");
             return OUTDONE;
         }
-        for d in direct {
-            let node = node.clone();
-            tokio::spawn(async move { send(&node, term, d).await });
-        }
+        node.send_directly(term, direct);
         if node.state.lock().expect("lock").top_term > term {
             return "a newer term was seen";
         }
@@ -116,6 +114,19 @@
     }
 }
 
+/// Tells in the log how the takeover goes on, and at its end what was met when reports were held against records.
+fn tell_recovery(c: &mut Cell, now: u64) {
+    for z in c.recovery.pass(now) {
+        let (zone, heard) = (c.names.zones.name(z.zone.0 as usize), z.recorded - z.unheard);
+        let (of, ms) = (z.recorded, z.took_ms);
+        tracing::info!("recovery: {heard} of {of} machines of {zone} are heard after {ms} ms");
+        if c.recovery.phase() == Phase::Serving {
+            c.close_squaring();
+            tracing::info!("recovery: over, tasks: {}", c.squared.words());
+        }
+    }
+}
+
 /// Counts beats that came late in a row, and tells when the leader falls behind and when it has caught up.
 fn falls_behind(beats: u32, lag: u64) -> u32 {
     match (lag > BEHIND_MS, beats) {
@@ -134,29 +145,6 @@
     }
 }
 
-/// Sends halts, or just the new term, straight to a worker. Its answer proves nothing; it only
-/// speeds up what the next report will show.
-async fn send(node: &Node, term: u64, mut d: Direct) {
-    #[derive(serde::Serialize)]
-    struct Body<'a> {
-        shift: u64,
-        #[serde(flatten)]
-        orders: &'a Orders,
-    }
-    let orders = Orders { warrant: term, orders: std::mem::take(&mut d.orders) };
-    let mut shift = d.shift;
-    for _ in 0..2 {
-        let body = Body { shift, orders: &orders };
-        let answer = node.workers.post(&d.addr, "/commands", &body, ms(2000)).await;
-        let Ok(answer) = answer else { return };
-        match (answer.status, answer.decode::<Report>()) {
-            (409, Some(r)) if r.warrant > term => return node.heard_term(r.warrant, None),
-            (409, Some(r)) if r.shift != shift => shift = r.shift,
-            _ => return,
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -6,6 +6,7 @@
 use copperhaven_core::state::job::Job;
 use copperhaven_core::state::machine::Machine;
 use copperhaven_core::state::names::{TeamId, TypeId};
+use copperhaven_recovery::phase::Phase;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -49,6 +50,10 @@
     let lost = figure("service_lost", "Part of a class's CPU seconds lost to others of late");
     let slow =
         figure("service_slowdown", "Time that done jobs took, in units of their class's aim");
+    let phase = figure("recovery_phase", "1 for the phase that the leader's takeover is in");
+    let unheard = figure("recovery_unheard", "Machines on record that this term has not heard");
+    let squared = figure("recovery_tasks", "Tasks by what records and first reports made of them");
+    let directly = figure("direct_orders", "Orders straight to workers, by kind and fate");
     let dirty = figure("records_dirty", "Records not yet at the state service");
     let writes = figure("store_writes", "Puts and deletes sent in this term");
     let latency = figure("commit_seconds", "Time that transactions of this term took");
@@ -82,8 +87,23 @@
     upgraded.get_or_create(&none).set(f64::from(u8::from(node.cluster.upgraded())));
     term.get_or_create(&none).set(seen as f64);
     leader.get_or_create(&none).set(f64::from(u8::from(leads)));
+    let (sent, left) = node.lanes.counts();
+    for (fate, counts) in [("sent", sent), ("left out", left)] {
+        for (kind, n) in ["halt", "term"].into_iter().zip(counts) {
+            let labels = vec![("kind", kind.into()), ("fate", fate.into())];
+            directly.get_or_create(&labels).set(n as f64);
+        }
+    }
     let now = node.now();
     node.with_cell(seen, |c, _| {
+        for (i, name) in Phase::NAMES.iter().enumerate() {
+            let here = f64::from(u8::from(c.recovery.phase() as usize == i));
+            phase.get_or_create(&vec![("phase", (*name).into())]).set(here);
+        }
+        unheard.get_or_create(&none).set(c.recovery.unheard() as f64);
+        for (row, n) in c.squared.iter() {
+            squared.get_or_create(&vec![("met", row.name().into())]).set(n as f64);
+        }
         for (state, n) in [
             ("awaiting", c.jobs.values().filter(|j| j.open() && !j.awaits.is_empty()).count()),
             (
--- /dev/null
+++ b/crates/controller/src/node/directly.rs
@@ -0,0 +1,90 @@
+//! What is sent straight to workers, paced (`copperhaven_recovery::lane`).
+
+use crate::node::Node;
+use copperhaven_core::state::machine::Direct;
+use copperhaven_recovery::lane::{Budget, Lane, Urgency};
+use copperhaven_wire::workers::{Orders, Report};
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// So many wait at most: a fleet of ten thousand, told of a term.
+const MOST: usize = 20_000;
+
+/// How long a worker may take to answer.
+const LIMIT: Duration = Duration::from_millis(2000);
+
+/// The lane, and the term that it is for.
+pub struct Lanes(Mutex<(u64, Lane<Direct>)>);
+
+impl Lanes {
+    pub(super) fn new(settings: &copperhaven_core::settings::Settings) -> Lanes {
+        let limits = &settings.deployment.limits;
+        let budget = Budget::of(limits.cpu_share, limits.max_connections);
+        Lanes(Mutex::new((0, Lane::new(budget, MOST, 0))))
+    }
+
+    /// Sent and left out so far, halts before terms.
+    pub fn counts(&self) -> ([u64; 2], [u64; 2]) {
+        let lane = &self.0.lock().expect("lock").1;
+        (lane.sent, lane.left_out)
+    }
+}
+
+impl Node {
+    /// Takes these in, and sends what is due.
+    pub fn send_directly(self: &Arc<Self>, term: u64, all: Vec<Direct>) {
+        let now = self.now();
+        let mut lanes = self.lanes.0.lock().expect("lock");
+        let (of, lane) = &mut *lanes;
+        if *of != term {
+            // What an earlier term had left would be refused.
+            *of = term;
+            lane.clear();
+        }
+        for d in all {
+            let urgency = if d.orders.is_empty() { Urgency::Term } else { Urgency::Halt };
+            lane.push(urgency, d);
+        }
+        if lane.is_empty() {
+            return;
+        }
+        let due = self.with_cell(term, |c, _| {
+            lane.take(now, |urgency, d| {
+                let m = d.machine.and_then(|mid| c.machines.get(&mid));
+                // The answer to its own report has told it by now.
+                urgency == Urgency::Halt || m.is_none_or(|m| m.answered == 0)
+            })
+        });
+        for d in due.unwrap_or_default() {
+            let node = self.clone();
+            tokio::spawn(async move {
+                send(&node, term, d).await;
+                node.lanes.0.lock().expect("lock").1.answered();
+            });
+        }
+    }
+}
+
+/// Sends halts, or just the new term, straight to a worker. Its answer proves nothing; it only
+/// speeds up what the next report will show.
+async fn send(node: &Node, term: u64, mut d: Direct) {
+    #[derive(serde::Serialize)]
+    struct Body<'a> {
+        shift: u64,
+        #[serde(flatten)]
+        orders: &'a Orders,
+    }
+    let orders = Orders { warrant: term, orders: std::mem::take(&mut d.orders) };
+    let mut shift = d.shift;
+    for _ in 0..2 {
+        let body = Body { shift, orders: &orders };
+        let answer = node.workers.post(&d.addr, "/commands", &body, LIMIT).await;
+        let Ok(answer) = answer else { return };
+        match (answer.status, answer.decode::<Report>()) {
+            (409, Some(r)) if r.warrant > term => return node.heard_term(r.warrant, None),
+            (409, Some(r)) if r.shift != shift => shift = r.shift,
+            _ => return,
+        }
+    }
+}
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! One controller: what it shares between its parts, and how it answers, as leader or for it.
 
+pub mod directly;
 pub mod doors;
 pub mod lookups;
 pub mod questions;
@@ -70,6 +71,7 @@
     doors: Mutex<Doors>,
     pub(super) reached: reach::Lock,
     seat: OnceLock<String>,
+    pub lanes: directly::Lanes,
 }
 
 /// What a request was refused for, as the metrics name it.
@@ -98,6 +100,7 @@
             cloud: Cloud::new(net.clone(), settings.endpoints.cloud.clone()),
             workers: Client::within(net.clone(), 1),
             net,
+            lanes: directly::Lanes::new(&settings),
             settings: Arc::new(settings),
             start: Instant::now(),
             state: Mutex::default(),
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -96,6 +96,9 @@
     addr: String,
 }
 
+/// Pairs of a page, as many as the service gives; it may give fewer.
+const PAGE: usize = 1000;
+
 const READ: Duration = Duration::from_millis(1500);
 const COMMIT: Duration = Duration::from_millis(1500);
 
@@ -160,7 +163,7 @@
         let mut last: Option<String> = None;
         loop {
             let since = last.map(|p| format!("&since={p}")).unwrap_or_default();
-            let path = format!("/store?prefix={prefix}{since}&limit=300");
+            let path = format!("/store?prefix={prefix}{since}&limit={PAGE}");
             let answer = self.http.get(&self.addr, &path, READ).await?;
             if answer.status != 200 {
                 return Err(StoreError::Status(answer.status));
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -51,7 +51,8 @@
     /// The same, and the machines on which jobs that are soon ready were laid.
     pub(crate) fn demand_and_kept(&self, now: u64) -> (Vec<(Kind, u32)>, HashSet<MachineId>) {
         let mut kept = HashSet::new();
-        let mut slots: Vec<Slot> = self.slots(now);
+        // After a takeover places that are there all the same count, though they were not heard of yet.
+        let mut slots: Vec<Slot> = self.slots(now).into_iter().chain(self.expected(now)).collect();
         for s in &mut slots {
             // A machine held for a job gets free for it once the tasks there have stopped.
             if s.reserved.is_some() {
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -190,11 +190,9 @@
                     if let Some(job) = self.jobs.get_mut(&r.id) {
                         job.look_at = now + if found { AGAIN_MS } else { LOOK_MS };
                     }
-                    if !found {
-                        if plain && (spec.shape != Shape::Array || self.array_may_preempt(*r, now))
-                        {
-                            full.no_victims.push((*r, spec.clone(), need));
-                        }
+                    let patient = spec.shape == Shape::Array && !self.array_may_preempt(*r, now);
+                    if !found && plain && !patient {
+                        full.no_victims.push((*r, spec.clone(), need));
                     }
                     found
                 };
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -148,7 +148,8 @@
             }
             need = need.saturating_sub(free.fits(spec));
         }
-        if need == 0 {
+        // What has its place on machines that are about to be heard again needs nobody to stop.
+        if need == 0 || self.expected_room(spec, now) >= need {
             return !held.is_empty();
         }
         let asker =
--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -3,8 +3,9 @@
 use crate::state::book::{GROUP_BYTES, RANGE_BYTES};
 use crate::state::cell::Cell;
 use crate::state::job::{EPS, Spec};
-use crate::state::machine::Machine;
+use crate::state::machine;
 use crate::state::names::*;
+use copperhaven_recovery::Machine;
 use smallvec::SmallVec;
 
 /// Images on a machine, mostly so few that none of them needs memory of its own.
@@ -28,7 +29,7 @@
 
 impl Slot {
     /// A machine with what is free on it now, no image and room in its record.
-    pub fn on(mid: MachineId, m: &Machine) -> Slot {
+    pub fn on(mid: MachineId, m: &machine::Machine) -> Slot {
         Slot {
             mid,
             kind: m.kind,
@@ -121,6 +122,29 @@
             .collect()
     }
 
+    /// Machines on record that have not shown this term yet, with what is free on them by their records: after a
+    /// takeover, until they were heard or the bound for that has run out. Nothing is placed there; nothing is
+    /// rented or stopped for what may find its place there either.
+    pub(crate) fn expected(&self, now: u64) -> impl Iterator<Item = Slot> {
+        let waited = self.recovery.unheard() > 0;
+        let silence = self.silence();
+        self.machines
+            .iter()
+            .filter(move |(mid, m)| {
+                waited
+                    && self.recovery.expects(Machine(mid.0), now)
+                    && !m.usable(now, silence)
+                    && !(m.faulty || m.leaving || m.recall_at.is_some())
+                    && m.foreign.is_empty()
+            })
+            .map(|(mid, m)| Slot::on(*mid, m))
+    }
+
+    /// For how many tasks of this shape there is room on such machines.
+    pub(crate) fn expected_room(&self, spec: &Spec, now: u64) -> u32 {
+        self.expected(now).map(|s| s.open_room(spec)).sum()
+    }
+
     /// How many more tasks of the job a zone may hold.
     pub(crate) fn zone_room(&self, id: JobId, zone: ZoneId) -> u32 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -43,7 +43,7 @@
     // Whoever could find something must still look.
     type Edit = fn(&mut JobBody);
     let failed = spec(|b| (b.cpus, b.precedence) = (4.0, Precedence::Normal));
-    let full = Full { no_place: vec![failed.clone()], no_victims: vec![] };
+    let full = Full { room: vec![(failed.clone(), 0)], no_victims: vec![] };
     let cases: [(Edit, bool); 6] = [
         (|b| b.cpus = 4.0, true),
         (|b| b.cpus = 5.0, true),
@@ -57,7 +57,7 @@
     }
     // What may use spot machines looks for itself after one that may not.
     let strict = spec(|b| (b.cpus, b.loaners) = (4.0, false));
-    let full = Full { no_place: vec![strict], no_victims: vec![] };
+    let full = Full { room: vec![(strict, 0)], no_victims: vec![] };
     assert!(!full.has_no_place(&spec(|b| (b.cpus, b.loaners) = (5.0, true))));
 
     let ranked = |guaranteed| Ranked {
@@ -70,7 +70,7 @@
     let gang = |b: &mut JobBody| {
         (b.shape, b.parcels, b.cpus, b.precedence) = (Shape::Gang, 3, 4.0, Precedence::Normal);
     };
-    let full = Full { no_place: vec![], no_victims: vec![(ranked(false), spec(gang), 3)] };
+    let full = Full { room: vec![], no_victims: vec![(ranked(false), spec(gang), 3)] };
     let cases: [(Edit, u32, bool, bool); 6] = [
         (gang, 3, false, true),
         (gang, 2, false, false),
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -17,6 +17,8 @@
 use crate::state::teams::{Teams, Usage};
 use copperhaven_fairness::ledger::Service;
 use copperhaven_fairness::need::Needs;
+use copperhaven_recovery::phase::Recovery;
+use copperhaven_recovery::square::Counts;
 use copperhaven_wire::jobs::{JobBody, Precedence};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -47,6 +49,9 @@
     /// Who was served too little, as of the last placement pass.
     pub needs: Needs,
     pub direct: Vec<Direct>,
+    /// How far this leader's takeover is, and what it met when reports were held against records.
+    pub recovery: Recovery,
+    pub squared: Counts,
     next_id: usize,
     next_try: u64,
     /// Something changed that may let a task be placed.
@@ -73,7 +78,10 @@
             names.types.intern(&f.label);
         }
         let pools = names.zones.len() * flavors.len();
+        let report_ms = (settings.deployment.workers.report_s * 1000.0) as u64;
         Cell {
+            recovery: Recovery::begin(now, report_ms),
+            squared: Counts::default(),
             teams: Teams::new(settings.deployment.teams.len()),
             ledger: Ledger::new(leader, settings.deployment.state.value_bytes()),
             rates: Rates::new(pools, settings.tuning.rate_window),
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -11,6 +11,8 @@
 /// Orders for `/commands`: only `halt`s, or nothing but the new term.
 #[derive(Debug)]
 pub struct Direct {
+    /// None: its record can't be used.
+    pub machine: Option<MachineId>,
     pub addr: String,
     pub shift: u64,
     pub orders: Vec<Order>,
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -8,6 +8,7 @@
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Entry};
 use crate::state::served;
+use copperhaven_recovery::{Machine, Zone};
 use copperhaven_wire::jobs::check;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -59,6 +60,8 @@
         cell.settle(id);
     }
     cell.follow(now);
+    let machines = cell.machines.iter().map(|(mid, m)| (Machine(mid.0), Zone(m.zone.0)));
+    cell.recovery.read(machines, now);
 }
 
 /// What can't be read is named and left as it is. A job is nobody's to start, cancel or take for new; a
@@ -223,7 +226,8 @@
         cell.ledger.stamp(path.clone(), Some(stamp));
         let name = path.trim_start_matches("m/").to_string();
         // Fences the old leader: a worker that has seen this term drops its responses.
-        cell.direct.push(Direct { addr: r.addr.clone(), shift: r.shift, orders: vec![] });
+        let (addr, shift) = (r.addr.clone(), r.shift);
+        cell.direct.push(Direct { machine: None, addr, shift, orders: vec![] });
         let (Some(kind), Some(zone)) =
             (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
         else {
@@ -236,6 +240,9 @@
             continue;
         };
         let mid = cell.add_machine(&name, &r.addr, kind, zone, r.spot, now);
+        if let Some(direct) = cell.direct.last_mut() {
+            direct.machine = Some(mid);
+        }
         for on in r.on {
             let Some(id) = cell.jobs.id(on.j.as_str()) else {
                 // A job that is not open is final: what is done has exited, and a cancelled job only
--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -11,4 +11,5 @@
 pub mod leases;
 pub mod orders;
 pub mod reports;
+pub mod squaring;
 pub mod stops;
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -23,7 +23,7 @@
     Malformed(&'static str),
 }
 
-fn split(parcel: &str) -> Option<(&str, u32)> {
+pub(super) fn split(parcel: &str) -> Option<(&str, u32)> {
     let (uid, task) = parcel.rsplit_once('/')?;
     Some((uid, task.parse().ok()?))
 }
@@ -71,12 +71,17 @@
         m.addr.clone_from(&r.addr);
         m.heard = now;
         let of_term = r.warrant == self.term;
-        if of_term && !m.fenced {
+        let first = of_term && !m.fenced;
+        if first {
             m.fenced = true;
             self.stir = true;
         }
         m.recall_at = r.recall_s.map(|s| now + (s.clamp(0.0, 86_400.0) * 1000.0) as u64);
+        if first {
+            self.square(mid, r, now);
+        }
         let hidden = self.aside.machine(&r.hearth);
+        let Some(m) = self.machines.get_mut(&mid) else { return Taken::Stale };
         m.ended.clear();
         m.strays.clear();
         let mut listed: BTreeSet<(JobId, u32)> = BTreeSet::new();
--- a/crates/core/src/workers/stops.rs
+++ b/crates/core/src/workers/stops.rs
@@ -30,7 +30,10 @@
         let (addr, shift) = (m.addr.clone(), m.last.0);
         match self.direct.iter_mut().find(|d| d.addr == addr && d.shift == shift) {
             Some(d) => d.orders.push(order),
-            None => self.direct.push(Direct { addr, shift, orders: vec![order] }),
+            None => {
+                let machine = Some(mid);
+                self.direct.push(Direct { machine, addr, shift, orders: vec![order] });
+            }
         }
     }
 
--- a/crates/core/tests/passes.rs
+++ b/crates/core/tests/passes.rs
@@ -67,7 +67,7 @@
     }
     let list: Vec<(&str, u64, &str)> =
         parcels.iter().map(|(p, a, s)| (p.as_str(), *a, *s)).collect();
-    let zone = if i % 2 == 0 { "north" } else { "south" };
+    let zone = if i.is_multiple_of(2) { "north" } else { "south" };
     let (spot, yard) = (i % 5 == 4, zone.to_string());
     Report { hearth: name, yard, loaners: spot, ..report(1, now, TERM, &list) }
 }
