Plans of rentals and takeovers look through machines once, not once a job

Change: what pools have and are asked for is worked out once for all jobs of a takeover (PoolLoad); a plan keeps places in the order of their room, and who needs as much as somebody who found none does not look.

--- /dev/null
+++ b/crates/core/benches/leader.rs
@@ -0,0 +1,239 @@
+//! What the leader's steps cost by size: `cargo bench -p copperhaven-core --features testing --bench leader`. The
+//! table is in docs/results.md.
+//!
+//! Machines of 32 CPUs, all full of running tasks; as many open jobs as machines, gangs and arrays in turn,
+//! that wait. One core; no state service, no sockets.
+
+use copperhaven_core::admission::shape::admit_shape;
+use copperhaven_core::for_tests::{T0, TEAMS, TERM, body, report, sample_with};
+use copperhaven_core::records::{Cond, JobRecord, MachineRecord, OnRecord};
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::fleet::Flavor;
+use copperhaven_core::state::ledger::Key;
+use copperhaven_core::state::names::{JobId, Names};
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_core::workers::reports::Taken;
+use copperhaven_wire::cloud::WireFlavor;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::workers::{Parcel, Report};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The array whose tasks run everywhere.
+const BUSY: &str = "wk-900000";
+
+/// A job of its kind by number: a gang, an array of small tasks, an array of middling ones.
+fn job(n: usize) -> JobBody {
+    let mut b = body(&format!("wk-{n:06}"));
+    b.owner = ["red", "blue"][n % 2].into();
+    (b.berths, b.due_s, b.loaners) = (None, None, true);
+    b.cargo = format!("img-{}", n % 50);
+    let (shape, precedence, parcels, cpus, mem) = match n % 3 {
+        0 => (Shape::Gang, Precedence::Normal, [1, 2, 6][n / 3 % 3], 30.0, 51.0),
+        1 => (Shape::Array, Precedence::Low, 100, 1.0, 1.7),
+        _ => (Shape::Array, Precedence::Low, 60, 4.0, 6.1),
+    };
+    (b.shape, b.precedence, b.parcels, b.cpus, b.mem_gb) = (shape, precedence, parcels, cpus, mem);
+    b
+}
+
+fn busy(machines: usize) -> JobBody {
+    JobBody { uid: BUSY.into(), parcels: machines as u64 * 8, ..job(2) }
+}
+
+fn name(i: usize) -> String {
+    format!("n-{i:06}")
+}
+
+fn addr(i: usize) -> String {
+    format!("10.{}.{}.1:9", i / 250, i % 250)
+}
+
+fn told(i: usize, tally: u64, parcels: Vec<Parcel>) -> Report {
+    let berth = "large".into();
+    Report { hearth: name(i), addr: addr(i), berth, parcels, ..report(1, tally, TERM, &[]) }
+}
+
+fn empty(machines: usize) -> Cell {
+    let cpus = machines as f64 * 32.0;
+    let team = |name: &str| {
+        format!(r#"{{ name = "{name}", cpus = {:.1}, cpus_max = {:.1} }}"#, cpus * 0.4, cpus * 2.0)
+    };
+    let teams = format!("teams = [{}, {}]", team("red"), team("blue"));
+    let settings = Arc::new(sample_with(&[(TEAMS, &teams)]));
+    let mut names = Names::new(&settings);
+    let wire = WireFlavor {
+        label: "large".into(),
+        cpus: 32.0,
+        cards: 0.0,
+        mem_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.2,
+        hourly: 1.5,
+        spot_price: 0.4,
+        startup_s: 50.0,
+        yards: vec!["north".into(), "south".into()],
+    };
+    names.types.intern("large");
+    let flavors = vec![Flavor::from_wire(&wire, &mut names)];
+    let leader = Cond { path: "c/leader".into(), stamp: 5 };
+    let mut c = Cell::new(settings, TERM, leader, T0, names, flavors);
+    c.fleet.provided = Some(0);
+    c
+}
+
+fn insert(c: &mut Cell, b: JobBody) -> JobId {
+    let (settings, flavors) = (c.settings.clone(), c.flavors.clone());
+    let spec = admit_shape(&b, &mut c.names, &flavors, &settings).expect("valid");
+    let id = c.insert_job(spec, b, T0, T0 as i64);
+    let ver = c.touch(Key::Job(id));
+    if let Some(job) = c.jobs.get_mut(&id) {
+        job.accept_ver = ver;
+    }
+    id
+}
+
+fn saved(c: &mut Cell) {
+    while let Some(batch) = c.batch(500) {
+        c.applied(&batch, 9);
+    }
+}
+
+/// All machines have eight tasks of four CPUs; so many jobs wait.
+fn full(machines: usize, jobs: usize) -> Cell {
+    let mut c = empty(machines);
+    let id = insert(&mut c, busy(machines));
+    for i in 0..machines {
+        let Taken::Answer(mid) = c.on_report(&told(i, 1, vec![]), T0) else { panic!("taken") };
+        let attempt = c.new_attempt();
+        (0..8).for_each(|t| c.assign(mid, id, (i * 8 + t) as u32, attempt, T0));
+    }
+    (0..jobs).for_each(|n| {
+        insert(&mut c, job(n));
+    });
+    saved(&mut c);
+    for i in 0..machines {
+        let r = running(&c, i, 2);
+        c.on_report(&r, T0 + 1);
+    }
+    c.place(T0 + 2);
+    saved(&mut c);
+    c
+}
+
+/// What its list has is running there.
+fn running(c: &Cell, i: usize, tally: u64) -> Report {
+    let m = c.machines.id(&name(i)).and_then(|mid| c.machines.get(&mid)).expect("there");
+    let parcels = m.entries.iter().map(|((id, t), e)| Parcel {
+        parcel: c.parcel(*id, *t),
+        attempt: e.attempt,
+        status: "running".into(),
+        cause: None,
+        kept: false,
+    });
+    told(i, tally, parcels.collect())
+}
+
+/// Time of `step` alone, over `n` rounds, each after `before`.
+fn timed<T>(
+    n: u64,
+    c: &mut Cell,
+    mut before: impl FnMut(&mut Cell, u64) -> T,
+    mut step: impl FnMut(&mut Cell, T),
+) -> Duration {
+    let mut sum = Duration::ZERO;
+    for round in 0..n {
+        let input = before(c, round);
+        let begin = Instant::now();
+        step(c, input);
+        sum += begin.elapsed();
+    }
+    sum
+}
+
+/// As many jobs as machines, and eight tasks on each.
+fn records(size: usize) -> Records {
+    let record = |job: JobBody| {
+        let path = format!("j/{}", job.uid);
+        (path, JobRecord { job, at: 1, cancelled: false, waits: None, since: None }, 7)
+    };
+    let jobs = (0..size).map(job).chain([busy(size)]).map(record).collect();
+    let machine = |i: usize| {
+        let on = vec![OnRecord { j: BUSY.into(), t: 9, r: vec![i as u32 * 8, 8] }];
+        let (berth, yard) = ("large".into(), "north".into());
+        let r = MachineRecord { addr: addr(i), berth, yard, spot: false, shift: 1, on };
+        (format!("m/{}", name(i)), r, 7)
+    };
+    Records { jobs, machines: (0..size).map(machine).collect(), ..Records::default() }
+}
+
+fn steps(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("leader");
+    group.sample_size(10).warm_up_time(Duration::from_millis(200));
+    group.measurement_time(Duration::from_secs(1));
+    for size in [100, 1_000, 10_000] {
+        let mut c = full(size, size);
+        let (mut tally, mut now, mut more) = (10u64, T0 + 1_000, 0);
+        // One task is done; the pass finds its place for another.
+        group.bench_function(BenchmarkId::new("a pass after one change", size), |b| {
+            b.iter_custom(|n| {
+                let before = |c: &mut Cell, round: u64| {
+                    (tally, now) = (tally + 1, now + 60);
+                    let mut r = running(c, (round as usize * 7) % size, tally);
+                    if let Some(p) = r.parcels.first_mut() {
+                        (p.status, p.cause) = ("ended".into(), Some("done".into()));
+                    }
+                    c.on_report(&r, now);
+                    c.machines.values_mut().for_each(|m| m.heard = now);
+                    saved(c);
+                    now
+                };
+                timed(n, &mut c, before, |c, now| c.place(now))
+            });
+        });
+        group.bench_function(BenchmarkId::new("a report", size), |b| {
+            b.iter_custom(|n| {
+                let before = |c: &mut Cell, round: u64| {
+                    tally += 1;
+                    running(c, (round as usize * 11) % size, tally)
+                };
+                timed(n, &mut c, before, |c, r| {
+                    c.on_report(&r, now);
+                })
+            });
+        });
+        group.bench_function(BenchmarkId::new("a submission", size), |b| {
+            b.iter_custom(|n| {
+                let before = |_: &mut Cell, _| {
+                    more += 1;
+                    job(500_000 + more)
+                };
+                timed(n, &mut c, before, |c, body| {
+                    let id = insert(c, body);
+                    let spec = c.jobs[&id].spec.clone();
+                    let _ = black_box(c.admit(&spec, now));
+                })
+            });
+        });
+        let c = full(size, size);
+        group.bench_function(BenchmarkId::new("a plan of rentals", size), |b| {
+            b.iter(|| black_box(c.demand(T0 + 500)));
+        });
+        group.bench_function(BenchmarkId::new("a rebuild", size), |b| {
+            b.iter_custom(|n| {
+                let once = |_| {
+                    let (read, mut c) = (records(size), empty(size));
+                    let begin = Instant::now();
+                    rebuild(&mut c, read, T0, 1_000_000);
+                    begin.elapsed()
+                };
+                (0..n).map(once).sum()
+            });
+        });
+    }
+}
+
+criterion_group!(benches, steps);
+criterion_main!(benches);
--- a/crates/core/src/admission/index.rs
+++ b/crates/core/src/admission/index.rs
@@ -78,6 +78,21 @@
     (got, best)
 }
 
+/// By pool: what runs and is routed there, in machines, and ordinary and spot machines that are up, boot.
+#[derive(Debug, Clone)]
+pub struct PoolLoad {
+    load: Vec<f64>,
+    ordinary: Vec<f64>,
+    spot: Vec<f64>,
+}
+
+impl PoolLoad {
+    fn up(&mut self, pool: usize, spot: bool) {
+        let machines = if spot { &mut self.spot } else { &mut self.ordinary };
+        machines[pool] += 1.0;
+    }
+}
+
 impl Cell {
     /// The share of a machine of this type that one task takes.
     pub fn share(&self, spec: &Spec, kind: TypeId) -> f64 {
@@ -101,30 +116,40 @@
     /// Every pool that the job may use. Slots count machines that are up and sound, that boot,
     /// and one that could be rented where the cloud has not just refused.
     pub fn views(&self, spec: &Spec, now: u64) -> Vec<PoolView> {
+        self.views_of(&self.pool_load(now), spec, now)
+    }
+
+    /// What all pools have and are asked for, as every job sees it.
+    pub fn pool_load(&self, now: u64) -> PoolLoad {
         let silence = self.silence();
-        let kinds = self.flavors.len();
-        let mut load = vec![0.0; self.pools()];
-        let mut machines = vec![0.0; self.pools()];
+        let none = || vec![0.0; self.pools()];
+        let mut all = PoolLoad { load: none(), ordinary: none(), spot: none() };
         for m in self.machines.values() {
             let p = self.pool(m.zone, m.kind);
-            if m.usable(now, silence) && (spec.spot || !m.spot) {
-                machines[p] += 1.0;
+            if m.usable(now, silence) {
+                all.up(p, m.spot);
             }
-            load[p] += (m.used_cpus / m.cpus).max(m.used_mem / m.mem_gb);
+            all.load[p] += (m.used_cpus / m.cpus).max(m.used_mem / m.mem_gb);
         }
         for b in self.coming(now) {
-            if spec.spot || !b.spot {
-                machines[self.pool(b.zone, b.kind)] += 1.0;
-            }
+            all.up(self.pool(b.zone, b.kind), b.spot);
         }
         for (_, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
-            for (p, n) in job.routed.iter().enumerate() {
-                if *n > 0 {
-                    load[p] += f64::from(*n) * self.share(&job.spec, TypeId::from(p % kinds));
-                }
-            }
+            self.add_routed(&mut all, &job.spec, &job.routed);
         }
+        all
+    }
+
+    /// Tasks of a job that were routed.
+    pub fn add_routed(&self, all: &mut PoolLoad, spec: &Spec, routed: &[u32]) {
+        let kinds = self.flavors.len();
+        for (p, n) in routed.iter().enumerate().filter(|(_, n)| **n > 0) {
+            all.load[p] += f64::from(*n) * self.share(spec, TypeId::from(p % kinds));
+        }
+    }
+
+    fn views_of(&self, all: &PoolLoad, spec: &Spec, now: u64) -> Vec<PoolView> {
         let mut out = Vec::new();
         for kind in &spec.types {
             let share = self.share(spec, *kind);
@@ -134,12 +159,13 @@
                 }
                 let pool = self.pool(*zone, *kind);
                 let rentable = self.fleet.rentable(*kind, *zone, spec.spot, now);
-                let up = machines[pool] + if rentable { 1.0 } else { 0.0 };
+                let spot = if spec.spot { all.spot[pool] } else { 0.0 };
+                let up = all.ordinary[pool] + spot + if rentable { 1.0 } else { 0.0 };
                 let run = self.rates.run_s(pool, spec.class, spec.estimate_s);
                 out.push(PoolView {
                     pool,
                     m: up * (1.0 / share + EPS).floor(),
-                    x: load[pool] / share,
+                    x: all.load[pool] / share,
                     mu: 1.0 / run,
                 });
             }
@@ -152,10 +178,24 @@
         self.admit_after(spec, 0.0, now)
     }
 
+    /// The same, where what all pools have and are asked for is known: many at once don't look through all
+    /// machines and jobs each.
+    pub fn admit_on(&self, all: &PoolLoad, spec: &Spec, now: u64) -> Result<Vec<u32>, f64> {
+        self.admit_views(self.views_of(all, spec, now), spec, 0.0)
+    }
+
     /// The same for a job that first waits for others, about so many seconds: the test is on what
     /// that leaves of its deadline.
     pub fn admit_after(&self, spec: &Spec, wait_s: f64, now: u64) -> Result<Vec<u32>, f64> {
-        let mut views = self.views(spec, now);
+        self.admit_views(self.views(spec, now), spec, wait_s)
+    }
+
+    fn admit_views(
+        &self,
+        mut views: Vec<PoolView>,
+        spec: &Spec,
+        wait_s: f64,
+    ) -> Result<Vec<u32>, f64> {
         let theta = match spec.deadline_s {
             Some(span) => 1.0 / (span - wait_s).max(0.1),
             None => self.theta(spec),
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -1,6 +1,7 @@
 //! What to rent for the work that waits.
 
 use crate::placement::order::Ranked;
+use crate::placement::pass::Full;
 use crate::placement::slots::Slot;
 use crate::state::cell::Cell;
 use crate::state::fleet::{Kind, LATE};
@@ -10,7 +11,7 @@
 use crate::state::teams::{Split, Usage};
 use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::Shape;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 impl Cell {
     /// How many tasks of the job should run at once to be in time: all of them where a deadline
@@ -102,6 +103,22 @@
             }
         }
         let mut out: BTreeMap<Kind, u32> = BTreeMap::new();
+        // Demands for which no place was left: whoever needs as much need not look.
+        let mut full = Full::default();
+        let tight = |cpus: f64| (cpus * 1000.0) as i64;
+        let mut kept_for: BTreeMap<JobId, Vec<usize>> = BTreeMap::new();
+        let mut by_room: BTreeSet<(i64, usize)> = BTreeSet::new();
+        for (i, s) in slots.iter().enumerate() {
+            match s.reserved {
+                Some(id) => kept_for.entry(id).or_default().push(i),
+                None => {
+                    by_room.insert((tight(s.cpus), i));
+                }
+            }
+        }
+        for of in kept_for.values_mut() {
+            of.sort_by_key(|i| tight(slots[*i].cpus));
+        }
         // By priority: a team's lower work makes way for its higher.
         let split = |s: &Split| -> [Usage; 4] { std::array::from_fn(|p| s.at(p)) };
         let mut used: Vec<[Usage; 4]> = self.teams.splits().map(split).collect();
@@ -149,23 +166,37 @@
             let u = &mut above[spec.precedence as usize];
             u.cpus += spec.cpus * f64::from(n);
             u.cards += spec.cards * f64::from(n);
-            let tight = |s: &Slot| (s.cpus * 1000.0) as i64;
-            let mut order: Vec<usize> = (0..slots.len())
-                .filter(|i| slots[*i].reserved.is_none_or(|x| x == r.id))
-                .filter(|i| slots[*i].allowed(spec) && slots[*i].fits(spec) > 0)
-                .collect();
-            order.sort_by_key(|i| (slots[*i].reserved.is_none(), tight(&slots[*i])));
-            for i in order {
-                let k = slots[i].fits(spec).min(n);
-                slots[i].take(spec, k);
-                n -= k;
-                if early && k > 0 {
-                    kept.insert(slots[i].mid);
+            // The fullest that fits, so that whole machines stay free; what is kept for the job before all.
+            let own = kept_for.get(&r.id).into_iter().flatten().copied();
+            let mut found: Vec<(usize, u32)> = vec![];
+            let mut left = n;
+            let from = (tight(spec.cpus - EPS), 0);
+            let open = (!full.has_no_place(spec)).then(|| by_room.range(from..));
+            let open = open.into_iter().flatten().map(|(_, i)| *i);
+            for i in own.chain(open) {
+                let k = if slots[i].allowed(spec) { slots[i].fits(spec).min(left) } else { 0 };
+                if k > 0 {
+                    found.push((i, k));
+                    left -= k;
                 }
-                if n == 0 {
+                if left == 0 {
                     break;
                 }
             }
+            if found.is_empty() && n > 0 {
+                full.found_room(spec, 0);
+            }
+            for (i, k) in found {
+                let before = (tight(slots[i].cpus), i);
+                slots[i].take(spec, k);
+                if by_room.remove(&before) {
+                    by_room.insert((tight(slots[i].cpus), i));
+                }
+                if early {
+                    kept.insert(slots[i].mid);
+                }
+            }
+            n = left;
             if n == 0 {
                 continue;
             }
@@ -203,8 +234,11 @@
                     let k = each.min(n);
                     s.take(spec, k);
                     n -= k;
+                    by_room.insert((tight(s.cpus), slots.len()));
                     slots.push(s);
                 }
+                // The last one may have places left, and so had those before it.
+                full = Full::default();
             }
         }
         (out.into_iter().collect(), kept)
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -22,7 +22,7 @@
 /// What one pass has found out: with these demands there is no place, and nobody to stop. Places
 /// only get fewer within a pass, so whoever needs at least as much need not look.
 #[derive(Default)]
-pub(super) struct Full {
+pub(crate) struct Full {
     /// Demands, and for how many tasks of them there is room at most.
     pub(super) room: Vec<(Arc<Spec>, u32)>,
     pub(super) no_victims: Vec<(Ranked, Arc<Spec>, u32)>,
@@ -49,7 +49,7 @@
     }
 
     /// There is room for so many tasks of this shape.
-    pub(super) fn found_room(&mut self, spec: &Arc<Spec>, most: u32) {
+    pub(crate) fn found_room(&mut self, spec: &Arc<Spec>, most: u32) {
         match self.room.iter_mut().find(|(a, _)| Self::covers(a, spec) && Self::covers(spec, a)) {
             Some((_, known)) => *known = most.min(*known),
             None => self.room.push((spec.clone(), most)),
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -47,15 +47,19 @@
         }
     }
     let ids: Vec<_> = cell.jobs.keys().copied().collect();
+    // Once for all: looking through all machines and jobs for each took 4.5 s with ten thousand of both.
+    let mut load = cell.pool_load(now);
     for id in ids {
         let Some(job) = cell.jobs.get(&id) else { continue };
         if job.cancelled() {
             cell.stop_all(id, now, 0.0);
         } else if job.awaits.is_empty()
-            && let Ok(routed) = cell.admit(&job.spec.clone(), now)
-            && let Some(job) = cell.jobs.get_mut(&id)
+            && let Ok(routed) = cell.admit_on(&load, &job.spec, now)
         {
-            job.routed = routed;
+            cell.add_routed(&mut load, &job.spec, &routed);
+            if let Some(job) = cell.jobs.get_mut(&id) {
+                job.routed = routed;
+            }
         }
         cell.settle(id);
     }
