--- a/crates/controller/src/leadership/load.rs
+++ b/crates/controller/src/leadership/load.rs
@@ -14,16 +14,18 @@
     let begun = node.now();
     let store = &node.store;
     // Side by side: from the election on nobody but this leader changes them, and it does not yet.
-    let (jobs, done, machines, rentals, links, service, provided) = tokio::join!(
+    let (jobs, done, machines, packs, rentals, links, service, provided) = tokio::join!(
         store.list::<JobRecord>("j/"),
         store.list::<DoneRecord>("d/"),
         store.list::<MachineRecord>("m/"),
+        store.list::<PackRecord>("p/"),
         store.list::<RentalRecord>("r/"),
         store.list::<LinksRecord>("a/"),
         store.list::<ServiceRecord>(SERVICE),
         store.get::<ProvidedRecord>(PROVIDED),
     );
-    let (jobs, done, machines, rentals, links) = (jobs?, done?, machines?, rentals?, links?);
+    let (jobs, done, machines, packs) = (jobs?, done?, machines?, packs?);
+    let (rentals, links) = (rentals?, links?);
     // No rule rests on what was served to whom: without it the order of service starts from what is
     // open.
     let service = match service {
@@ -42,7 +44,7 @@
         }
         Err(e) => return Err(e),
     };
-    let bad = [jobs.bad, done.bad, machines.bad, rentals.bad, links.bad].concat();
+    let bad = [jobs.bad, done.bad, machines.bad, packs.bad, rentals.bad, links.bad].concat();
     let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
@@ -53,6 +55,8 @@
         jobs: jobs.rows,
         done: done.rows,
         machines: machines.rows,
+        packs: packs.rows,
+        packed: true,
         rentals: rentals.rows,
         links: links.rows,
         service,
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -2,7 +2,7 @@
 //! durable first; an unknown outcome is read back).
 
 use crate::records::FinalRecord;
-use crate::state::book::Book;
+use crate::state::book::{Book, GROUP_BYTES, RANGE_BYTES};
 use crate::state::cell::Cell;
 use crate::state::job::{CHUNK, Wait};
 use crate::state::ledger::{Batch, Key};
@@ -11,6 +11,46 @@
 use crate::state::served;
 
 impl Cell {
+    /// Lists of machines are written in packs from here on. One whose list is too long for its part of a value
+    /// keeps its own record.
+    pub fn pack_machines(&mut self) {
+        self.packs.turn_on(self.ledger.value_limit);
+        self.unpack_surplus();
+        let share = self.packs.share_of_each(self.ledger.value_limit);
+        let all: Vec<MachineId> = self.machines.keys().copied().collect();
+        for mid in all {
+            let Some(m) = self.machines.get(&mid) else { continue };
+            let rough = 256 + m.foreign.len() * 128 + m.entries.len() * (GROUP_BYTES + RANGE_BYTES);
+            if rough <= share && self.packs.add(mid).is_some() {
+                let own = format!("m/{}", m.name);
+                if self.ledger.has_path(&own) {
+                    self.packs.to_move(mid);
+                }
+            }
+        }
+    }
+
+    /// Lists of machines have records of their own again. What stands in packs moves.
+    pub fn unpack_machines(&mut self) {
+        self.packs.turn_on(0);
+        self.unpack_surplus();
+    }
+
+    fn unpack_surplus(&mut self) {
+        for mid in self.packs.surplus() {
+            let ver = self.touch(Key::Machine(mid));
+            self.packs.leave(mid, ver);
+        }
+    }
+
+    /// Has the next lists moved that still have records of their own, so many at a time. Done, it finds none.
+    pub fn move_lists(&mut self, most: usize) {
+        for _ in 0..most {
+            let Some(mid) = self.packs.next_to_move() else { return };
+            self.touch(Key::Machine(mid));
+        }
+    }
+
     /// The next transaction: at most `ops` changes, the most urgent keys first.
     pub fn batch(&mut self, ops: usize) -> Option<Batch> {
         self.batch_with_reserve(ops, 0)
@@ -18,9 +58,9 @@
 
     /// The same, with so many of the changes left to what users wait for.
     pub fn batch_with_reserve(&mut self, ops: usize, reserve: usize) -> Option<Batch> {
-        let Cell { ledger, jobs, machines, links, fleet, names, aside, service, .. } = self;
+        let Cell { ledger, jobs, machines, links, fleet, names, aside, service, packs, .. } = self;
         let draft = ledger.draft(
-            &Book { jobs, machines, links, fleet, names, aside, service },
+            &Book { jobs, machines, links, fleet, names, aside, service, packs },
             ops,
             reserve,
         );
@@ -36,8 +76,10 @@
     /// A transaction was called malformed or too large. False: it was one of several.
     pub fn malformed(&mut self, batch: &Batch) -> bool {
         let given_up = self.ledger.malformed(batch);
-        if let Some(Key::Machine(mid)) = given_up {
-            self.unassign(mid);
+        for key in batch.keys.iter().filter(|_| given_up.is_some()) {
+            if let Key::Machine(mid) = key {
+                self.unassign(*mid);
+            }
         }
         given_up.is_some()
     }
@@ -80,8 +122,15 @@
                     if !self.machines.contains_key(mid) {
                         self.ledger.unmark(key);
                     }
+                    if let Some((_, ver)) = self.packs.leaves(*mid)
+                        && self.is_saved(key, ver)
+                        && let Some(pack) = self.packs.left(*mid)
+                    {
+                        self.touch(Key::Pack(pack));
+                    }
+                }
+                Key::Links(..) | Key::Rental(_) | Key::Drop(_) | Key::Service(_) | Key::Pack(_) => {
                 }
-                Key::Links(..) | Key::Rental(_) | Key::Drop(_) | Key::Service(_) => {}
             }
         }
     }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -5,6 +5,7 @@
 use copperhaven_wire::encode;
 use copperhaven_wire::jobs::JobBody;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// The key of the leader's record, attached to its lease.
 pub const LEADER: &str = "c/leader";
@@ -105,6 +106,13 @@
     pub on: Vec<OnRecord>,
 }
 
+/// `p/N`: several machines, by name. A release that doesn't know it must not lead where it is written
+/// (docs/rollout.md).
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PackRecord {
+    pub packed: BTreeMap<String, MachineRecord>,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OnRecord {
     pub j: String,
@@ -150,6 +158,7 @@
     Done(DoneRecord),
     Final(FinalRecord),
     Machine(MachineRecord),
+    Pack(PackRecord),
     Rental(RentalRecord),
     Flavors(FlavorsRecord),
     Provided(ProvidedRecord),
--- a/crates/core/src/state/aside.rs
+++ b/crates/core/src/state/aside.rs
@@ -51,6 +51,11 @@
         self.machines.contains_key(name)
     }
 
+    /// Are there machines aside of which not even the name is known: those of a pack that can't be read?
+    pub fn hides_any(&self) -> bool {
+        self.machines.keys().any(|name| name.starts_with("p/"))
+    }
+
     pub fn machines(&self) -> impl Iterator<Item = &String> {
         self.machines.keys()
     }
--- a/crates/core/src/state/book.rs
+++ b/crates/core/src/state/book.rs
@@ -9,6 +9,7 @@
 use crate::state::links::Links;
 use crate::state::machine::Machine;
 use crate::state::names::*;
+use crate::state::packs::{PackId, Packs};
 use crate::state::served;
 use crate::state::table::Table;
 use copperhaven_fairness::ledger::Service;
@@ -29,6 +30,7 @@
     pub names: &'a Names,
     pub aside: &'a Aside,
     pub service: &'a Service,
+    pub packs: &'a Packs,
 }
 
 impl Book<'_> {
@@ -58,6 +60,22 @@
         record
     }
 
+    /// All machines of a pack; none: it is to go, if it is there.
+    fn pack(&self, pack: PackId, ledger: &Ledger) -> Vec<Change> {
+        let path = format!("p/{}", pack.0);
+        let members = self.packs.members(pack).filter_map(|mid| self.machines.get(&mid));
+        let packed: BTreeMap<String, MachineRecord> =
+            members.map(|m| (m.name.clone(), self.machine_record(m))).collect();
+        match packed.is_empty() {
+            false => {
+                let v = Record::Pack(PackRecord { packed });
+                vec![Change::Put { put: path, v, charter: None }]
+            }
+            true if ledger.has_path(&path) => vec![Change::Delete { delete: path }],
+            true => vec![],
+        }
+    }
+
     fn machine_record(&self, m: &Machine) -> MachineRecord {
         let mut by_job: BTreeMap<(JobId, u64), Vec<u32>> = BTreeMap::new();
         for ((id, task), e) in &m.entries {
@@ -124,7 +142,17 @@
                 let parts = (0..SPLIT).map(part).filter(|(path, _)| !self.aside.is_sealed(path));
                 parts.map(|(path, record)| put(path, record)).collect()
             }
+            Key::Pack(pack) => self.pack(*pack, ledger),
             Key::Machine(mid) => match self.machines.get(mid) {
+                Some(m) if let Some(pack) = self.packs.of(*mid) => {
+                    let mut changes = self.pack(pack, ledger);
+                    // Its own record goes in the same moment.
+                    let own = format!("m/{}", m.name);
+                    if ledger.has_path(&own) {
+                        changes.push(Change::Delete { delete: own });
+                    }
+                    changes
+                }
                 Some(m) => {
                     vec![put(format!("m/{}", m.name), Record::Machine(self.machine_record(m)))]
                 }
@@ -143,6 +171,13 @@
         }
     }
 
+    fn shared(&self, key: &Key, ledger: &Ledger) -> Option<String> {
+        let Key::Machine(mid) = key else { return None };
+        let pack = self.packs.of(*mid)?;
+        let m = self.machines.get(mid)?;
+        (!ledger.has_path(&format!("m/{}", m.name))).then(|| format!("p/{}", pack.0))
+    }
+
     /// Nobody waits for the end of a job that follows from another's.
     fn can_wait(&self, key: &Key, ledger: &Ledger) -> bool {
         let Key::Job(id) = key else { return false };
@@ -175,11 +210,14 @@
 
     /// Bytes that a machine's record has left for more tasks, counting what the ranges of those on
     /// it may grow to as some of them end.
-    pub fn record_room(&self, m: &Machine) -> usize {
+    pub fn record_room(&self, mid: MachineId, m: &Machine) -> usize {
         let names =
             self.names.types.name(m.kind.ix()).len() + self.names.zones.name(m.zone.ix()).len();
         let base = 96 + m.addr.len() + names;
-        let left = self.ledger.value_limit.saturating_sub(base);
+        // Its name stands in a pack, and a little around it.
+        let packed = if self.packs.of(mid).is_some() { m.name.len() + 8 } else { 0 };
+        let share = self.packs.share(mid, self.ledger.value_limit);
+        let left = share.saturating_sub(base + packed);
         // Most machines hold few tasks: no need to look closer.
         let rough = m.entries.len() * (GROUP_BYTES + RANGE_BYTES);
         if rough + 8 * GROUP_BYTES < left {
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -11,6 +11,7 @@
 use crate::state::links::Links;
 use crate::state::machine::{Direct, Entry, Machine, Seen};
 use crate::state::names::*;
+use crate::state::packs::Packs;
 use crate::state::rates::Rates;
 use crate::state::served;
 use crate::state::table::Table;
@@ -42,6 +43,7 @@
     pub ledger: Ledger,
     pub links: Links,
     pub aside: Aside,
+    pub packs: Packs,
     pub rates: Rates,
     pub fleet: Fleet,
     /// What was served to whom.
@@ -90,6 +92,7 @@
             needs: Needs::default(),
             links: Links::default(),
             aside: Aside::default(),
+            packs: Packs::default(),
             finals: Finals::default(),
             settings,
             term,
@@ -353,6 +356,7 @@
             reserved: None,
         };
         self.machines.insert(mid, machine);
+        self.packs.add(mid);
         mid
     }
 
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -4,7 +4,8 @@
 
 use crate::records::{Change, Cond};
 use crate::state::names::{JobId, MachineId};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use crate::state::packs::PackId;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// A key with something to record, in the order in which records are written: what users wait
 /// for first, what nobody waits for last.
@@ -15,6 +16,8 @@
     Job(JobId),
     Rental(String),
     Machine(MachineId),
+    /// A pack that a machine has left.
+    Pack(PackId),
     Done(JobId, u32),
     Drop(String),
     /// What was served to whom, in parts.
@@ -33,7 +36,7 @@
             Key::Rental(_) | Key::Service(_) => 1,
             Key::Machine(_) => 2,
             Key::Done(..) => Key::RANGES,
-            Key::Drop(_) => Key::LAST,
+            Key::Drop(_) | Key::Pack(_) => Key::LAST,
         }
     }
 }
@@ -73,6 +76,8 @@
 pub trait Source {
     /// The changes that record what stands under this key now; none: there is nothing to record.
     fn render(&self, key: &Key, ledger: &Ledger) -> Vec<Change>;
+    /// The path that this key is recorded at together with others, if that is all there is to record of it.
+    fn shared(&self, key: &Key, ledger: &Ledger) -> Option<String>;
     /// Does nobody wait for this record, whatever its kind?
     fn can_wait(&self, key: &Key, ledger: &Ledger) -> bool;
     /// Keys that have to be safe before this one is written, or written with it.
@@ -187,6 +192,11 @@
         };
     }
 
+    /// Is anything on record there?
+    pub fn has_path(&self, path: &str) -> bool {
+        self.stamps.contains_key(path)
+    }
+
     pub fn paths(&self) -> impl Iterator<Item = &String> {
         self.stamps.keys()
     }
@@ -239,9 +249,20 @@
         let mut size = 0;
         let mut idle = vec![];
         let mut long = vec![];
+        let mut paths: HashSet<String> = HashSet::new();
+        let mut full = false;
         for key in &self.urgent(source, ops) {
+            // What stands in a value that is written anyway is recorded with it.
+            if source.shared(key, self).is_some_and(|path| paths.contains(&path)) {
+                batch.keys.push(key.clone());
+                continue;
+            }
+            if full {
+                continue;
+            }
             if self.alone && !batch.keys.is_empty() {
-                break;
+                full = true;
+                continue;
             }
             let missing = |k: &Key| !self.saved.contains_key(k) && !batch.keys.contains(k);
             if source.first(key, self).iter().any(missing) {
@@ -261,11 +282,13 @@
                 changes.iter().map(|c| c.bytes() + 3 * c.path().len() + 96).sum::<usize>();
             let most = if key.urgency() == 0 { ops } else { ops.saturating_sub(reserve) };
             if batch.apply.len() + changes.len() > most || size + bytes > MOST_BYTES {
-                break;
+                full = true;
+                continue;
             }
             size += bytes;
             for change in &changes {
                 let path = change.path().to_string();
+                paths.insert(path.clone());
                 let stamp = self.stamps.get(&path).copied().unwrap_or(0);
                 batch.when.push(Cond { path, stamp });
             }
@@ -322,9 +345,14 @@
     /// up; none: it was one of several.
     pub fn malformed(&mut self, batch: &Batch) -> Option<Key> {
         self.commits.too_large += 1;
-        let [key] = batch.keys.as_slice() else {
-            self.alone = true;
-            return None;
+        let key = match batch.keys.as_slice() {
+            [key] => key,
+            // Several with one value between them.
+            [key, ..] if batch.apply.len() == 1 => key,
+            _ => {
+                self.alone = true;
+                return None;
+            }
         };
         tracing::error!("given up as unwritable: {key:?}");
         let longest = batch.apply.iter().map(Change::bytes).max().unwrap_or(0);
@@ -335,7 +363,9 @@
         // With the lower limit finished ranges are split, and nobody waits for them; a machine's
         // record is written again as soon as it has changed.
         if !(matches!(key, Key::Done(..)) && longest > self.value_limit) {
-            self.dirty.remove(key);
+            batch.keys.iter().for_each(|key| {
+                self.dirty.remove(key);
+            });
         }
         Some(key.clone())
     }
@@ -361,6 +391,7 @@
                 return vec![];
             }
             let path = format!("{key:?}").replace(' ', "");
+            let path = self.shared(key, ledger).unwrap_or(path);
             let room = if self.long.contains(key) { ledger.value_limit } else { 1 };
             let lot = "x".repeat(room);
             let job = crate::for_tests::record("wk-1").job;
@@ -370,6 +401,9 @@
             let v = if room > 1 { Record::Job(Box::new(record)) } else { short };
             vec![Change::Put { put: path, v, charter: None }]
         }
+        fn shared(&self, key: &Key, _: &Ledger) -> Option<String> {
+            matches!(key, Key::Machine(MachineId(50..))).then(|| "p/1".into())
+        }
         fn can_wait(&self, key: &Key, _: &Ledger) -> bool {
             self.late.contains(key)
         }
@@ -475,6 +509,31 @@
         assert!(batch.keys.contains(&machine(1)) && l.held_back() == 0);
     }
 
+    #[test]
+    fn what_shares_a_value_is_recorded_with_it_however_many_there_are() {
+        let mut l = ledger();
+        for n in [1, 50, 2, 51, 3, 52] {
+            l.touch(machine(n));
+        }
+        let batch = l.draft(&Owners::default(), 2, 0).batch.expect("two changes");
+        assert_eq!(batch.keys, [1, 50, 51, 52].map(machine));
+        assert_eq!(batch.apply.len(), 2);
+        l.applied(&batch, 77);
+        assert_eq!(l.unwritten(), 2, "two machines with records of their own");
+        // One by one: what shares one value still goes together, and is given up together.
+        l.alone = true;
+        [50, 51].into_iter().for_each(|n| {
+            l.touch(machine(n));
+        });
+        let rest = l.draft(&Owners::default(), 9, 0).batch.expect("the longest waiting");
+        l.applied(&rest, 78);
+        let rest = l.draft(&Owners::default(), 9, 0).batch.expect("the next");
+        l.applied(&rest, 79);
+        let both = l.draft(&Owners::default(), 9, 0).batch.expect("both");
+        assert_eq!(both.keys, [50, 51].map(machine));
+        assert_eq!((l.malformed(&both), l.unwritten()), (Some(machine(50)), 0));
+    }
+
     #[test]
     fn a_refused_transaction_is_tried_one_by_one_and_lowers_the_limit_if_it_was_long() {
         let owners = Owners { long: BTreeSet::from([machine(1)]), ..Owners::default() };
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod machine;
 pub mod names;
+pub mod packs;
 pub mod rates;
 pub mod served;
 pub mod table;
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -7,10 +7,11 @@
 use crate::state::job::{CHUNK, FAR_MS, Wait};
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Entry};
+use crate::state::packs::{MOST as PACKED, PackId};
 use crate::state::served;
 use copperhaven_recovery::{Machine, Zone};
 use copperhaven_wire::jobs::check;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 type Rows<T> = Vec<(String, T, u64)>;
@@ -21,9 +22,12 @@
     pub jobs: Rows<JobRecord>,
     pub done: Rows<DoneRecord>,
     pub machines: Rows<MachineRecord>,
+    pub packs: Rows<PackRecord>,
     pub rentals: Rows<RentalRecord>,
     pub links: Rows<LinksRecord>,
     pub service: Rows<ServiceRecord>,
+    /// Lists of machines are written in packs.
+    pub packed: bool,
     /// Records that can't be read: path and version.
     pub bad: Vec<(String, u64)>,
 }
@@ -31,13 +35,17 @@
 /// Puts together what an earlier leader has left. `now` is this leader's steady clock, `wall_ms` the
 /// time of day, both in milliseconds. What can't be read or used is set aside (`state::aside`).
 pub fn rebuild(cell: &mut Cell, read: Records, now: u64, wall_ms: u64) {
-    let Records { jobs, done, machines, rentals, links, service, bad } = read;
+    let Records { jobs, done, machines, packs, rentals, links, service, packed, bad } = read;
     set_aside(cell, bad);
     cell.resume_service(service, now);
     let links = read_links(cell, links);
     read_jobs(cell, jobs, links, (now, wall_ms));
     read_done(cell, done);
-    read_machines(cell, machines, now);
+    read_packs(cell, packs, now);
+    for (path, r, stamp) in machines {
+        cell.ledger.stamp(path.clone(), Some(stamp));
+        read_machine(cell, (&path, path.trim_start_matches("m/")), r, now);
+    }
     for (path, r, stamp) in rentals {
         cell.ledger.stamp(path.clone(), Some(stamp));
         let what = cell.names.types.get(&r.berth).zip(cell.names.zones.get(&r.yard));
@@ -66,6 +74,11 @@
     cell.follow(now);
     let machines = cell.machines.iter().map(|(mid, m)| (Machine(mid.0), Zone(m.zone.0)));
     cell.recovery.read(machines, now);
+    if packed {
+        cell.pack_machines();
+    } else {
+        cell.unpack_machines();
+    }
 }
 
 /// What can't be read is named and left as it is. A job is nobody's to start, cancel or take for new; a
@@ -81,6 +94,15 @@
                 cell.aside.set_job(uid, format!("its record {path} can't be read"));
             }
             Some(("m", name)) => cell.aside.set_machine(name, MayHold::Anything),
+            // Of how many machines, and which, is not known: as many as a pack has at most.
+            Some(("p", n)) => {
+                for i in 0..PACKED {
+                    cell.aside.set_machine(&format!("p/{n}#{i}"), MayHold::Anything);
+                }
+                if let Ok(n) = n.parse() {
+                    cell.packs.begin(PackId(n), false);
+                }
+            }
             _ => {}
         }
         if !path.starts_with("m/") {
@@ -224,57 +246,97 @@
     }
 }
 
-/// Machines and the tasks that may be on them: a superset.
-fn read_machines(cell: &mut Cell, machines: Rows<MachineRecord>, now: u64) {
-    for (path, r, stamp) in machines {
+/// Machines whose lists stand together in one record.
+fn read_packs(cell: &mut Cell, packs: Rows<PackRecord>, now: u64) {
+    let mut seen: BTreeSet<String> = BTreeSet::new();
+    for (path, record, stamp) in packs {
         cell.ledger.stamp(path.clone(), Some(stamp));
-        let name = path.trim_start_matches("m/").to_string();
+        let number = path.trim_start_matches("p/").parse().ok().map(PackId);
+        // A pack is written anew as a whole. One that lists what can't be used, or is listed elsewhere, is left as
+        // it is, and those in it that can be used have records of their own from here on.
+        let usable = |r: &MachineRecord| {
+            cell.names.types.get(&r.berth).is_some() && cell.names.zones.get(&r.yard).is_some()
+        };
+        let fit = record.packed.iter().all(|(name, r)| usable(r) && !seen.contains(name));
+        let pack = number.filter(|_| fit);
+        if pack.is_none() {
+            tracing::error!(
+                "the record {path} can't be used as it is: it counts, and is left as it is"
+            );
+            cell.aside.seal(&path);
+        }
+        if let Some(number) = number {
+            cell.packs.begin(number, pack.is_some());
+        }
+        for (name, r) in record.packed {
+            read_machine(cell, (&path, &name), r, now);
+            if let (Some(pack), Some(mid)) = (pack, cell.machines.id(&name)) {
+                cell.packs.inherit(mid, pack);
+            }
+            seen.insert(name);
+        }
+    }
+}
+
+/// A machine and the tasks that may be on it: a superset. Listed twice, it holds what either lists.
+fn read_machine(cell: &mut Cell, (path, name): (&str, &str), r: MachineRecord, now: u64) {
+    let known = cell.machines.id(name);
+    let (addr, shift) = (r.addr.clone(), r.shift);
+    if known.is_none() {
         // Fences the old leader: a worker that has seen this term drops its responses.
-        let (addr, shift) = (r.addr.clone(), r.shift);
         cell.direct.push(Direct { machine: None, addr, shift, orders: vec![] });
-        let (Some(kind), Some(zone)) =
-            (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
-        else {
-            let (berth, yard) = (&r.berth, &r.yard);
-            tracing::error!("the record {path} can't be used: type `{berth}`, zone `{yard}`");
-            if !r.on.is_empty() {
-                let jobs = r.on.into_iter().map(|on| on.j).collect();
-                cell.aside.set_machine(&name, MayHold::Jobs(jobs));
+    }
+    let (Some(kind), Some(zone)) = (cell.names.types.get(&r.berth), cell.names.zones.get(&r.yard))
+    else {
+        let (berth, yard) = (&r.berth, &r.yard);
+        tracing::error!("the record {path} can't be used: type `{berth}`, zone `{yard}`");
+        if !r.on.is_empty() {
+            let jobs = r.on.into_iter().map(|on| on.j).collect();
+            cell.aside.set_machine(name, MayHold::Jobs(jobs));
+        }
+        return;
+    };
+    let mid = match known {
+        Some(mid) => mid,
+        None => {
+            let mid = cell.add_machine(name, &r.addr, kind, zone, r.spot, now);
+            if let Some(direct) = cell.direct.last_mut() {
+                direct.machine = Some(mid);
+            }
+            mid
+        }
+    };
+    for on in r.on {
+        let Some(id) = cell.jobs.id(on.j.as_str()) else {
+            // A job that is not open is final: what is done has exited, and a cancelled job only
+            // becomes final once none of its tasks can be on a machine. What is set aside may
+            // be neither.
+            if cell.aside.job(&on.j).is_some()
+                && let Some(m) = cell.machines.get_mut(&mid)
+                && !m.foreign.contains(&on)
+            {
+                m.foreign.push(on);
             }
             continue;
         };
-        let mid = cell.add_machine(&name, &r.addr, kind, zone, r.spot, now);
-        if let Some(direct) = cell.direct.last_mut() {
-            direct.machine = Some(mid);
-        }
-        for on in r.on {
-            let Some(id) = cell.jobs.id(on.j.as_str()) else {
-                // A job that is not open is final: what is done has exited, and a cancelled job only
-                // becomes final once none of its tasks can be on a machine. What is set aside may
-                // be neither.
-                if cell.aside.job(&on.j).is_some()
-                    && let Some(m) = cell.machines.get_mut(&mid)
-                {
-                    m.foreign.push(on);
-                }
+        for task in from_ranges(&on.r) {
+            let job = &cell.jobs[&id];
+            if task >= job.spec.tasks {
                 continue;
-            };
-            for task in from_ranges(&on.r) {
-                let job = &cell.jobs[&id];
-                if task < job.spec.tasks {
-                    let mut e = Entry::new(on.t, 0, now);
-                    e.inherited = true;
-                    // Done by one record, and listed by another: mostly it has exited since. But an
-                    // earlier leader that could not read the first has started it again, and so it
-                    // may be there, and counts, until it is proven not to be.
-                    if job.done.contains(task) {
-                        e.stop = Some((now, 0.0));
-                    }
-                    cell.attach(mid, id, task, e);
-                    if let Some(job) = cell.jobs.get_mut(&id) {
-                        job.attempt = job.attempt.max(on.t);
-                    }
-                }
+            }
+            let before = cell.machines.get(&mid).and_then(|m| m.entries.get(&(id, task)));
+            let attempt = before.map_or(on.t, |e| e.attempt.max(on.t));
+            let mut e = Entry::new(attempt, 0, now);
+            e.inherited = true;
+            // Done by one record, and listed by another: mostly it has exited since. But an
+            // earlier leader that could not read the first has started it again, and so it
+            // may be there, and counts, until it is proven not to be.
+            if job.done.contains(task) {
+                e.stop = Some((now, 0.0));
+            }
+            cell.attach(mid, id, task, e);
+            if let Some(job) = cell.jobs.get_mut(&id) {
+                job.attempt = job.attempt.max(on.t);
             }
         }
     }
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -80,7 +80,7 @@
         if first {
             self.square(mid, r, now);
         }
-        let hidden = self.aside.machine(&r.hearth);
+        let hidden = self.aside.machine(&r.hearth) || self.aside.hides_any();
         let Some(m) = self.machines.get_mut(&mid) else { return Taken::Stale };
         m.ended.clear();
         m.strays.clear();
--- a/crates/core/tests/failures/leaders.rs
+++ b/crates/core/tests/failures/leaders.rs
@@ -37,6 +37,7 @@
                 Record::Job(x) => read.jobs.push((path.clone(), *x, *stamp)),
                 Record::Done(x) => read.done.push((path.clone(), x, *stamp)),
                 Record::Machine(x) => read.machines.push((path.clone(), x, *stamp)),
+                Record::Pack(x) => read.packs.push((path.clone(), x, *stamp)),
                 Record::Rental(x) => read.rentals.push((path.clone(), x, *stamp)),
                 Record::Service(x) => read.service.push((path.clone(), x, *stamp)),
                 Record::Links(x) => read.links.push((path.clone(), x, *stamp)),
@@ -45,10 +46,11 @@
         }
         let bad: BTreeSet<String> = read.bad.iter().map(|(path, _)| path.clone()).collect();
         self.found += bad.len();
-        rebuild(&mut cell, read, now, now);
         if now + NEW >= self.falls {
             cell.ledger.value_limit = LOW;
         }
+        read.packed = self.packs.contains(&term);
+        rebuild(&mut cell, read, now, now);
         let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
         self.leaders.push(Leader {
             term,
@@ -99,6 +101,7 @@
             let lead = self.lead(&self.leaders[k]);
             let l = &mut self.leaders[k];
             l.cell.expire(now);
+            l.cell.move_lists(1);
             l.cell.stir = true;
             if lead {
                 l.cell.place(now);
--- a/crates/core/tests/failures/world.rs
+++ b/crates/core/tests/failures/world.rs
@@ -92,6 +92,8 @@
     pub asked_to_cancel: BTreeSet<String>,
     /// From then on the store takes less.
     pub falls: u64,
+    /// In these terms lists of machines are written in packs.
+    pub packs: std::ops::Range<u64>,
     /// Records that can't be read, until when.
     /// Are records spoiled in this schedule?
     pub spoils: bool,
@@ -159,6 +161,9 @@
             told_done: BTreeSet::new(),
             asked_to_cancel: BTreeSet::new(),
             falls: 6_000 + 8_000 * (seed % 10),
+            // From the start, from the third leader on, or not; and in some until the sixth.
+            packs: [0..u64::MAX, 3..u64::MAX, 1..6, u64::MAX..u64::MAX][seed as usize / 3 % 4]
+                .clone(),
             spoils: seed % 3 == 2,
             spoiled: BTreeMap::new(),
             found: 0,
