--- a/crates/controller/src/leadership/load.rs
+++ b/crates/controller/src/leadership/load.rs
@@ -1,12 +1,13 @@
 //! Reading the records at a takeover, and how jobs ended that others wait for.
 
-use crate::leadership::ms;
+use crate::leadership::{ms, stages};
 use crate::node::Node;
 use crate::store::StoreError;
 use copperhaven_core::records::*;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::takeover::{Records, rebuild};
 use copperhaven_recovery::phase::Recovery;
+use copperhaven_rollout::{PACKS, Stage};
 use tokio::time::sleep;
 
 /// Reads every record and puts the cell together. What machines may hold is a superset.
@@ -24,6 +25,8 @@
         store.list::<ServiceRecord>(SERVICE),
         store.get::<ProvidedRecord>(PROVIDED),
     );
+    let stages = stages::read(node).await?.0;
+    let packed = stages.stage(PACKS) == Stage::Written;
     let (jobs, done, machines, packs) = (jobs?, done?, machines?, packs?);
     let (rentals, links) = (rentals?, links?);
     // No rule rests on what was served to whom: without it the order of service starts from what is
@@ -56,7 +59,7 @@
         done: done.rows,
         machines: machines.rows,
         packs: packs.rows,
-        packed: true,
+        packed,
         rentals: rentals.rows,
         links: links.rows,
         service,
--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -4,6 +4,7 @@
 pub mod load;
 pub mod probes;
 pub mod returns;
+pub mod stages;
 pub mod ticks;
 
 use crate::dealings;
@@ -28,6 +29,8 @@
 /// Follows, stands for election when nobody leads, leads; for ever.
 pub async fn run(node: Arc<Node>) {
     tokio::spawn(probes::run(node.clone()));
+    let own = node.clone();
+    tokio::spawn(async move { stages::record_own(&own).await });
     // It has not seen the leader's key since its start.
     let mut first = true;
     loop {
@@ -132,7 +135,20 @@
 /// (0: there is none). An unknown outcome is read back.
 async fn elect(node: &Node, over: u64, returns: u64) -> Option<Won> {
     let ttl = node.settings.tuning.leader_lease_ms;
-    let (old, term_stamp) = match node.store.get::<TermRecord>(TERM).await {
+    let (read, stages) = tokio::join!(node.store.get::<TermRecord>(TERM), stages::read(node));
+    // What it doesn't know of the stored state it would not see.
+    let (mut stages, stages_stamp) = match stages {
+        Ok(stages) => stages,
+        Err(e) => {
+            node.note_unreadable(&e);
+            return None;
+        }
+    };
+    if let Some(ability) = stages.unknown() {
+        node.note_unknown(ability);
+        return None;
+    }
+    let (old, term_stamp) = match read {
         Ok(Some((t, stamp))) => (t.term, stamp),
         Ok(None) => (0, 0),
         // Without it no term is surely higher than all before: nobody may lead until it is mended.
@@ -153,12 +169,21 @@
         at: Node::wall_ms(),
         returns,
     };
-    let when =
-        [Cond { path: TERM.into(), stamp: term_stamp }, Cond { path: LEADER.into(), stamp: over }];
-    let apply = [
-        Change::Put { put: TERM.into(), v: Record::Term(TermRecord { term }), charter: None },
-        Change::Put { put: LEADER.into(), v: Record::Leader(record.clone()), charter: Some(lease) },
+    let mut when = vec![
+        Cond { path: TERM.into(), stamp: term_stamp },
+        Cond { path: LEADER.into(), stamp: over },
     ];
+    let put = |put: &str, v: Record, charter| Change::Put { put: put.into(), v, charter };
+    let mut apply = vec![
+        put(TERM, Record::term(term, &stages), None),
+        put(LEADER, Record::Leader(record.clone()), Some(lease)),
+    ];
+    if term_stamp == 0 && stages_stamp == 0 {
+        // The very first leader: no older release ever wrote here.
+        stages.born = true;
+        when.push(Cond { path: STAGES.into(), stamp: 0 });
+        apply.push(put(STAGES, Record::Stages(stages), None));
+    }
     match node.store.commit(&when, &apply).await {
         Outcome::Applied(stamp) => return Some(Won { term, stamp, lease, sent }),
         Outcome::Unknown => {
@@ -244,6 +269,7 @@
         why = commits(node, term) => why,
         why = read_ends(node, term) => why,
         why = ticks(node, term) => why,
+        why = stages::run(node, term, stamp) => why,
         _ = dealings::run(node.clone(), term) => "superseded",
     }
 }
--- a/crates/controller/src/leadership/probes.rs
+++ b/crates/controller/src/leadership/probes.rs
@@ -3,7 +3,7 @@
 
 use crate::leadership::ms;
 use crate::node::Node;
-use copperhaven_core::records::MachineRecord;
+use copperhaven_core::records::{MachineRecord, PackRecord};
 use std::sync::Arc;
 use tokio::time::sleep;
 
@@ -23,8 +23,12 @@
             Some(targets) => targets,
             None => {
                 // Only records can tell of any. With no machine there is nobody to ask.
-                if let Ok(rows) = node.store.some::<MachineRecord>("m/", SOME).await {
-                    node.know_workers(rows.iter().map(|m| (m.addr.as_str(), m.yard.as_str())));
+                let own = node.store.some::<MachineRecord>("m/", SOME).await;
+                let packs = node.store.some::<PackRecord>("p/", SOME / 4).await;
+                if let (Ok(own), Ok(packs)) = (own, packs) {
+                    let packed = packs.iter().flat_map(|p| p.packed.values());
+                    let all = own.iter().chain(packed);
+                    node.know_workers(all.map(|m| (m.addr.as_str(), m.yard.as_str())));
                 }
                 sleep(ms(PAUSE_MS)).await;
                 continue;
--- /dev/null
+++ b/crates/controller/src/leadership/stages.rs
@@ -0,0 +1,131 @@
+//! Abilities: what this process can is recorded when it starts; the leader moves stages once all can. The decisions
+//! are in `copperhaven-rollout`.
+
+use crate::cluster::frames::RELEASE;
+use crate::leadership::ms;
+use crate::node::Node;
+use crate::store::{Outcome, StoreError};
+use copperhaven_core::records::*;
+use copperhaven_rollout::{CanRecord, Holds, Next, PACKS, Stage, StagesRecord, next};
+use std::collections::BTreeMap;
+use tokio::time::sleep;
+
+/// The stages on record, and their version.
+pub(super) async fn read(node: &Node) -> Result<(StagesRecord, u64), StoreError> {
+    Ok(node.store.get::<StagesRecord>(STAGES).await?.unwrap_or_default())
+}
+
+/// Records what this process can, until that is done. Others count it only by this record.
+pub(super) async fn record_own(node: &Node) {
+    let own = CanRecord::own(RELEASE);
+    let path = format!("{CAN}{}", node.settings.member);
+    loop {
+        let seen = match node.store.get::<CanRecord>(&path).await {
+            Ok(seen) => seen,
+            // Whatever stands there, this process knows what it can itself.
+            Err(StoreError::Unreadable { stamp, .. }) => {
+                Some((CanRecord { release: 0, can: Default::default() }, stamp))
+            }
+            Err(_) => {
+                sleep(ms(500)).await;
+                continue;
+            }
+        };
+        if seen.as_ref().is_some_and(|(can, _)| *can == own) {
+            return;
+        }
+        let when = [Cond { path: path.clone(), stamp: seen.map_or(0, |(_, s)| s) }];
+        let v = Record::Can(own.clone());
+        let apply = [Change::Put { put: path.clone(), v, charter: None }];
+        if let Outcome::Applied(_) = node.store.commit(&when, &apply).await {
+            return;
+        }
+        sleep(ms(500)).await;
+    }
+}
+
+/// As leader: moves stages when all can, or operators want them back. Ends with the term.
+pub(super) async fn run(node: &Node, term: u64, leader: u64) -> &'static str {
+    let members: Vec<String> = node.settings.member_names().map(String::from).collect();
+    let wish = node.settings.wish();
+    let mut told = None;
+    loop {
+        sleep(ms(1000)).await;
+        let Some(left) = node.with_cell(term, |c, _| !c.packs.is_empty()) else {
+            return "superseded";
+        };
+        let Ok((stages, stamp)) = read(node).await else { continue };
+        // A move whose answer was lost, or one that an earlier leader made.
+        let written = stages.stage(PACKS) == Stage::Written;
+        let switched = node.with_cell(term, |c, _| {
+            let change = c.packs.are_on() != written;
+            match change {
+                true if written => c.pack_machines(),
+                true => c.unpack_machines(),
+                false => {}
+            }
+            change && c.packs.are_on() == written
+        });
+        if switched == Some(true) {
+            tracing::info!("lists of machines are written in packs: {written}");
+        }
+        let Ok(cans) = node.store.list::<CanRecord>(CAN).await else { continue };
+        let stamps: BTreeMap<&str, u64> =
+            cans.rows.iter().map(|(path, _, s)| (path.as_str(), *s)).collect();
+        let name = |path: &String| path.trim_start_matches(CAN).to_string();
+        let by_name = cans.rows.iter().map(|(path, can, _)| (name(path), can.clone())).collect();
+        let (stage, counted) = match next(PACKS, &stages, &members, &by_name, &wish, left) {
+            Next::Move(stage, counted) => (stage, counted),
+            Next::Hold(why) => {
+                let done = matches!(why, Holds::Done | Holds::Off | Holds::Upgraded);
+                if told.as_ref() != Some(&why) {
+                    tell(&why, stages.stage(PACKS));
+                    told = Some(why);
+                }
+                // Nothing more will come of it in this term.
+                if done {
+                    std::future::pending::<()>().await;
+                }
+                continue;
+            }
+        };
+        let next = stages.with(PACKS, stage, term, counted.clone());
+        let Ok(Some((_, term_stamp))) = node.store.get::<TermRecord>(TERM).await else { continue };
+        let mut when = vec![
+            Cond { path: LEADER.into(), stamp: leader },
+            Cond { path: STAGES.into(), stamp },
+            Cond { path: TERM.into(), stamp: term_stamp },
+        ];
+        for member in &counted {
+            let path = format!("{CAN}{member}");
+            let stamp = stamps.get(path.as_str()).copied().unwrap_or(0);
+            when.push(Cond { path, stamp });
+        }
+        let put = |put: &str, v: Record| Change::Put { put: put.into(), v, charter: None };
+        let apply = [put(TERM, Record::term(term, &next)), put(STAGES, Record::Stages(next))];
+        // Whatever came of it is read back.
+        if let Outcome::Applied(_) = node.store.commit(&when, &apply).await {
+            let who = if counted.is_empty() { "nobody".into() } else { counted.join(", ") };
+            tracing::info!("`{PACKS}` is {} from here on, counted: {who}", stage.name());
+        }
+    }
+}
+
+fn tell(why: &Holds, stage: Stage) {
+    let stage = stage.name();
+    match why {
+        Holds::Done | Holds::Off => {}
+        Holds::Upgraded => tracing::info!(
+            "`{PACKS}` stays {stage}: an older release wrote here before; once none of it comes back, set abilities_on"
+        ),
+        Holds::Members(m) if m.is_empty() => {
+            tracing::warn!("`{PACKS}` stays {stage}: all members are left out");
+        }
+        Holds::Members(m) => {
+            tracing::info!("`{PACKS}` stays {stage}: {} have not recorded it", m.join(", "));
+        }
+        Holds::Records => {
+            tracing::info!("`{PACKS}` stays {stage} until none of its records is left")
+        }
+    }
+}
--- a/crates/controller/src/leadership/ticks.rs
+++ b/crates/controller/src/leadership/ticks.rs
@@ -29,6 +29,9 @@
 const BEHIND_MS: u64 = 250;
 const BEHIND_BEATS: u32 = 10;
 
+/// So many lists move to their new form with each beat.
+const MOVED: usize = 4;
+
 /// How often it is recorded, and told in the log, what was served to whom: in beats of 100 ms.
 const RECORD_BEATS: u64 = 100;
 const LINE_BEATS: u64 = 600;
@@ -51,6 +54,7 @@
         let direct = node.with_cell(term, |c, _| {
             c.lag = lag;
             tell_recovery(c, now);
+            c.move_lists(MOVED);
             c.expire(now);
             c.follow(now);
             if beat.is_multiple_of(5) {
--- a/crates/controller/src/node/standing.rs
+++ b/crates/controller/src/node/standing.rs
@@ -101,6 +101,17 @@
         }
     }
 
+    /// This release doesn't know an ability that is in use, so it does not lead. Told once in its life.
+    pub fn note_unknown(&self, ability: &str) {
+        let first =
+            self.state.lock().expect("lock").unreadable.insert(format!("c/stages `{ability}`"));
+        if first {
+            tracing::error!(
+                "`{ability}` is in use and this release doesn't know it: it does not lead; run the release that does"
+            );
+        }
+    }
+
     /// Names a record that can't be read, once in the life of this process. Other errors are none of
     /// its business.
     pub fn note_unreadable(&self, e: &StoreError) {
--- a/crates/controller/tests/architecture.rs
+++ b/crates/controller/tests/architecture.rs
@@ -177,7 +177,7 @@
 
 #[test]
 fn no_circle_between_slices() {
-    for name in ["wire", "fairness", "reach", "recovery", "core", "controller"] {
+    for name in ["wire", "fairness", "reach", "recovery", "rollout", "core", "controller"] {
         let mut files = modules(name);
         // They wire the parts together.
         files.remove("lib");
@@ -244,6 +244,7 @@
         }
     };
     barred("core", &["tokio", "hyper", "poem", "rand", "copperhaven.", "copperhaven ="]);
+    barred("rollout", &["tokio", "hyper", "poem", "copperhaven"]);
     barred("recovery", &["tokio", "hyper", "poem", "copperhaven"]);
     barred("wire", &["tokio", "hyper", "poem", "rand", "tracing", "copperhaven"]);
 }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -1,6 +1,7 @@
 //! The records kept at the state service: keys, values, changes and conditions.
 
 use copperhaven_fairness::carried::Carried;
+use copperhaven_rollout::{CanRecord, StagesRecord};
 use copperhaven_wire::cloud::WireFlavor;
 use copperhaven_wire::encode;
 use copperhaven_wire::jobs::JobBody;
@@ -18,6 +19,9 @@
 pub const SERVICE_PARTS: u32 = 8;
 /// The key under which the number of provided machines is recorded.
 pub const PROVIDED: &str = "c/provided";
+/// The key of the stages of abilities, and the prefix under which every member records what it can.
+pub const STAGES: &str = "c/stages";
+pub const CAN: &str = "c/can/";
 
 /// `c/leader`: who leads, attached to its lease.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,9 +48,17 @@
 /// `c/term`: the highest term given out.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct TermRecord {
+    #[serde(alias = "staged")]
     pub term: u64,
 }
 
+/// `c/term` where there are records that a release without stages would not see: it can't read this, and so
+/// can't lead.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StagedTerm {
+    pub staged: u64,
+}
+
 /// `j/ID`: an accepted job that is not over.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -153,6 +165,9 @@
 pub enum Record {
     Leader(LeaderRecord),
     Term(TermRecord),
+    StagedTerm(StagedTerm),
+    Stages(StagesRecord),
+    Can(CanRecord),
     Job(Box<JobRecord>),
     Links(LinksRecord),
     Done(DoneRecord),
@@ -193,6 +208,15 @@
 }
 
 impl Record {
+    /// The highest term given out, as it is written under these stages.
+    pub fn term(term: u64, stages: &StagesRecord) -> Record {
+        if stages.fences() {
+            Record::StagedTerm(StagedTerm { staged: term })
+        } else {
+            Record::Term(TermRecord { term })
+        }
+    }
+
     /// How long the value is: as JSON, in which the protocol measures, or as MessagePack, in which
     /// it is sent, whichever is longer.
     pub fn bytes(&self) -> usize {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,7 +1,9 @@
 //! The platform's settings file (TOML, unknown fields ignored) and the operators' own (YAML,
 //! optional, unknown keys refused). Everything the scheduler decides derives from these.
 
+use copperhaven_rollout::{ABILITIES, Wish};
 use serde::Deserialize;
+use std::collections::BTreeSet;
 use std::path::Path;
 
 /// Why the settings were refused; the text names the field.
@@ -196,6 +198,11 @@
     pub standing: f64,
     /// Tasks of one array routed before other work gets its turn.
     pub route_chunk: u32,
+    /// Changes of the stored state to be switched on although an older release wrote here before, or to be taken
+    /// back, by name; and members that are gone for good and hold nothing up (docs/rollout.md).
+    pub abilities_on: BTreeSet<String>,
+    pub abilities_off: BTreeSet<String>,
+    pub members_left_out: BTreeSet<String>,
 }
 
 impl Default for Tuning {
@@ -208,6 +215,9 @@
             idle_boots: 1.0,
             standing: 1.25,
             route_chunk: 1000,
+            abilities_on: BTreeSet::new(),
+            abilities_off: BTreeSet::new(),
+            members_left_out: BTreeSet::new(),
         }
     }
 }
@@ -316,9 +326,42 @@
         if !(500..=60_000).contains(&t.leader_lease_ms) {
             return Err(SettingsError::Invalid("leader_lease_ms", "must be 500 to 60000".into()));
         }
+        for (name, abilities) in
+            [("abilities_on", &t.abilities_on), ("abilities_off", &t.abilities_off)]
+        {
+            if let Some(a) = abilities.iter().find(|a| !ABILITIES.contains(&a.as_str())) {
+                let why = format!("`{a}` is none of {}", ABILITIES.join(", "));
+                return Err(SettingsError::Invalid(name, why));
+            }
+        }
+        if let Some(a) = t.abilities_on.intersection(&t.abilities_off).next() {
+            let why = format!("`{a}` is in abilities_on as well: leave it out of one of them");
+            return Err(SettingsError::Invalid("abilities_off", why));
+        }
+        let names: BTreeSet<&str> = self.member_names().collect();
+        if let Some(m) = t.members_left_out.iter().find(|m| !names.contains(m.as_str())) {
+            let why = format!("`{m}` is no member: it holds nothing up");
+            return Err(SettingsError::Invalid("members_left_out", why));
+        }
         Ok(())
     }
 
+    /// All members, this one among them.
+    pub fn member_names(&self) -> impl Iterator<Item = &str> {
+        let others = self.members.iter().map(|m| m.member.as_str());
+        others.filter(|m| *m != self.member).chain([self.member.as_str()])
+    }
+
+    /// What operators want of abilities.
+    pub fn wish(&self) -> Wish {
+        let t = &self.tuning;
+        Wish {
+            on: t.abilities_on.clone(),
+            off: t.abilities_off.clone(),
+            left_out: t.members_left_out.clone(),
+        }
+    }
+
     /// How long a leader that can't renew its own lease may go on renewing the workers': until
     /// then tasks survive an outage of the state service, and yet they end within `cancel_s` of
     /// any cancellation that a successor could have accepted (not before the lease has ended).
