--- /dev/null
+++ b/crates/core/tests/packs.rs
@@ -0,0 +1,195 @@
+//! Lists of machines in packs: on which records each step rests, as tables. What runs while they move is played by
+//! the random schedules.
+
+use copperhaven_core::for_tests::{T0, TERM, add_job, cell, commit, exchange, record, report};
+use copperhaven_core::records::{Change, OnRecord, PackRecord, Record};
+use copperhaven_core::state::cell::Cell;
+use copperhaven_core::takeover::{Records, rebuild};
+use copperhaven_wire::workers::Report;
+use std::collections::BTreeMap;
+
+/// Machines `n-1`… that have reported twice, each with one task of a job of its own.
+fn running(count: usize) -> Cell {
+    let mut c = cell();
+    for n in 1..=count {
+        add_job(&mut c, &format!("wk-{n}"), |b| (b.parcels, b.cpus, b.due_s) = (1, 4.0, None));
+    }
+    commit(&mut c);
+    for n in 1..=count {
+        let named = |tally| Report { hearth: format!("n-{n}"), ..report(1, tally, TERM, &[]) };
+        exchange(&mut c, &named(1), T0);
+    }
+    assert!(c.machines.values().all(|m| m.entries.len() == 1), "one task each");
+    c
+}
+
+/// What a transaction does, by path: the machines that a value lists, or that it goes.
+fn told(changes: &[Change]) -> BTreeMap<String, Option<Vec<String>>> {
+    let lists = |v: &Record| match v {
+        Record::Pack(p) => {
+            p.packed.iter().filter(|(_, m)| !m.on.is_empty()).map(|(n, _)| n.clone()).collect()
+        }
+        Record::Machine(m) if !m.on.is_empty() => vec!["itself".into()],
+        _ => vec![],
+    };
+    let one = |c: &Change| match c {
+        Change::Put { put, v, .. } => (put.clone(), Some(lists(v))),
+        Change::Delete { delete } => (delete.clone(), None),
+    };
+    changes.iter().map(one).collect()
+}
+
+#[test]
+fn a_list_moves_in_one_transaction_and_moves_back_only_once_its_own_record_is_safe() {
+    let mut c = running(3);
+    c.pack_machines();
+    assert_eq!(c.ledger.unwritten(), 0, "they move at a pace");
+    c.move_lists(1);
+    let batch = c.batch(16).expect("the first moves");
+    let all = Some(vec!["n-1".to_string(), "n-2".into(), "n-3".into()]);
+    let expected = BTreeMap::from([("m/n-1".to_string(), None), ("p/0".into(), all.clone())]);
+    assert_eq!(told(&batch.apply), expected, "it goes only where it is listed");
+    c.applied(&batch, 2000);
+    c.move_lists(9);
+    let rest = c.batch(16).expect("the others");
+    let gone = |n: u32| (format!("m/n-{n}"), None);
+    assert_eq!(told(&rest.apply), BTreeMap::from([gone(2), gone(3), ("p/0".into(), all)]));
+    c.applied(&rest, 2001);
+    assert!(c.batch(16).is_none());
+    // Back, with room for one change at a time: until a machine's own record is safe its pack lists it.
+    c.unpack_machines();
+    let mut packed = 3;
+    let mut own = 0;
+    for rev in 2002.. {
+        let Some(batch) = c.batch(1) else { break };
+        for (path, to) in told(&batch.apply) {
+            match (path.as_str(), to) {
+                ("p/0", None) => packed = 0,
+                ("p/0", Some(list)) => packed = list.len(),
+                (_, to) => {
+                    assert!(to.is_some_and(|list| list == ["itself"]), "{path}");
+                    own += 1;
+                }
+            }
+        }
+        assert!(packed + own >= 3, "{packed} in the pack, {own} with records of their own");
+        c.applied(&batch, rev);
+        c.check();
+    }
+    assert_eq!((packed, own, c.packs.is_empty()), (0, 3, true));
+}
+
+#[test]
+fn one_change_records_what_changed_on_all_machines_of_a_pack() {
+    let mut c = cell();
+    c.pack_machines();
+    for n in 1..=4 {
+        let named = |tally| Report { hearth: format!("n-{n}"), ..report(1, tally, TERM, &[]) };
+        c.on_report(&named(1), T0);
+    }
+    for n in 1..=4 {
+        add_job(&mut c, &format!("wk-{n}"), |b| (b.parcels, b.cpus, b.due_s) = (1, 4.0, None));
+    }
+    commit(&mut c);
+    c.place(T0 + 1);
+    let batch = c.batch(1).expect("one change");
+    let all = Some((1..=4).map(|n| format!("n-{n}")).collect());
+    assert_eq!(told(&batch.apply), BTreeMap::from([("p/0".to_string(), all)]));
+    assert_eq!(batch.keys.len(), 4);
+    c.applied(&batch, 2000);
+    for mid in c.machines.keys().copied().collect::<Vec<_>>() {
+        assert!(c.orders_ready(mid), "all may be sent their tasks");
+    }
+    // A machine that is gone leaves its pack; the last one takes it with it.
+    for (n, left) in [(2, 3), (1, 2), (4, 1)] {
+        c.returned(&[format!("n-{n}")]);
+        let batch = c.batch(16).expect("the pack without it");
+        let list = told(&batch.apply).remove("p/0").flatten();
+        assert_eq!(list.map(|l| l.len()), Some(left));
+        c.applied(&batch, 3000 + n);
+    }
+    c.returned(&["n-3".to_string()]);
+    assert_eq!(told(&commit(&mut c)).remove("p/0"), Some(None));
+}
+
+fn pack(lists: &[(&str, &str, &str)]) -> PackRecord {
+    let machine = |(name, berth, job): &(&str, &str, &str)| {
+        let on = match *job {
+            "" => vec![],
+            job => vec![OnRecord { j: job.into(), t: 9, r: vec![0, 1] }],
+        };
+        let (addr, yard, spot, shift) = (format!("{name}:9"), "north".into(), false, 1);
+        let berth = berth.to_string();
+        (
+            name.to_string(),
+            copperhaven_core::records::MachineRecord { addr, berth, yard, spot, shift, on },
+        )
+    };
+    PackRecord { packed: lists.iter().map(machine).collect() }
+}
+
+#[test]
+fn what_can_t_be_used_of_a_pack_is_left_and_counts() {
+    let job = |uid: &str| (format!("j/{uid}"), record(uid), 7);
+    // (packs, unreadable ones, are tasks of wk-1 held, packs that are never written)
+    type Row = (
+        &'static str,
+        Vec<(&'static str, PackRecord)>,
+        &'static [&'static str],
+        bool,
+        &'static str,
+    );
+    let rows: [Row; 5] = [
+        ("sound", vec![("p/0", pack(&[("n-1", "small", "wk-1")]))], &[], true, ""),
+        ("of another job", vec![("p/0", pack(&[("n-1", "small", "")]))], &[], false, ""),
+        ("unreadable: any job's", vec![], &["p/0"], true, "p/0"),
+        (
+            "an unknown type in it",
+            vec![("p/0", pack(&[("n-1", "small", ""), ("n-2", "odd", "wk-1")]))],
+            &[],
+            true,
+            "p/0",
+        ),
+        (
+            "a machine in two",
+            vec![
+                ("p/0", pack(&[("n-1", "small", "")])),
+                ("p/1", pack(&[("n-1", "small", "wk-1")])),
+            ],
+            &[],
+            true,
+            "p/1",
+        ),
+    ];
+    for (what, packs, bad, held, sealed) in rows {
+        let mut c = cell();
+        let packs = packs.into_iter().map(|(path, r)| (path.to_string(), r, 7)).collect();
+        let bad = bad.iter().map(|path| (path.to_string(), 7)).collect();
+        let read =
+            Records { jobs: vec![job("wk-1")], packs, bad, packed: true, ..Records::default() };
+        rebuild(&mut c, read, T0, T0);
+        // Another machine comes and has room: whatever may be elsewhere is not started there.
+        let other = |tally| Report {
+            hearth: "n-9".into(),
+            berth: "big".into(),
+            ..report(1, tally, TERM, &[])
+        };
+        c.on_report(&other(1), T0 + 10);
+        c.place(T0 + 20);
+        let on = |c: &Cell| {
+            let mid = c.machines.id("n-9").expect("there");
+            c.machines[&mid].entries.keys().any(|(_, task)| *task == 0)
+        };
+        assert_eq!(on(&c), !held, "{what}");
+        for change in commit(&mut c) {
+            assert!(change.path() != sealed, "{what}: {} is written", change.path());
+        }
+        // Until nothing can be running there any more.
+        let over = T0 + c.settings.holding_ms() + c.settings.lease_ms() + 1_000;
+        c.on_report(&other(2), over);
+        c.expire(over);
+        c.place(over);
+        assert!(on(&c), "{what}: at last");
+        c.check();
+    }
+}
