--- a/crates/controller/src/leadership/tests.rs
+++ b/crates/controller/src/leadership/tests.rs
@@ -4,6 +4,7 @@
 use super::*;
 use crate::store::StoreError;
 use copperhaven_core::for_tests::{record, sample};
+use copperhaven_rollout::StagesRecord;
 use copperhaven_wire::encode;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -108,6 +109,43 @@
     }
 }
 
+#[test]
+fn who_does_not_know_what_is_in_use_does_not_lead_and_who_knows_no_stages_can_t() {
+    // As the release in production reads the term, and those before stages.
+    #[derive(serde::Deserialize)]
+    struct Before {
+        #[allow(dead_code, reason = "whether it is there is all")]
+        term: u64,
+    }
+    let packs = |stage| json!({"born": true, "stages": {"packs": {"stage": stage, "term": 3}}});
+    let other = json!({"stages": {"shards": {"stage": 1, "term": 3}}});
+    // (stages, term on record, term won, can an older release read what is written)
+    let cases = [
+        (json!(null), json!({"term": 7}), None, true),
+        (packs(0), json!({"term": 7}), Some(8), true),
+        (packs(2), json!({"staged": 7}), Some(8), false),
+        (packs(1), json!({"staged": 7}), Some(8), false),
+        (packs(9), json!({"staged": 7}), None, false),
+        (other, json!({"staged": 7}), None, false),
+    ];
+    for (stages, term, won, readable) in cases {
+        run(async {
+            let service = stand_in(&[(STAGES, stages.clone()), (TERM, term.clone())]);
+            let node = service.clone().node().await;
+            assert_eq!(elect(&node, 0, 0).await.map(|won| won.term), won, "{stages}");
+            let wrote = service.asked.lock().expect("lock").iter().any(|a| a == "POST /commit");
+            assert_eq!(wrote, won.is_some(), "{stages}");
+            if won.is_some() {
+                let record: StagesRecord = serde_json::from_value(stages.clone()).expect("stages");
+                let written = encode(&Record::term(8, &record));
+                assert_eq!(rmp_serde::from_slice::<Before>(&written).is_ok(), readable, "{stages}");
+                let ours = rmp_serde::from_slice::<TermRecord>(&written).expect("this release can");
+                assert_eq!(ours.term, 8);
+            }
+        });
+    }
+}
+
 #[test]
 fn a_takeover_reads_all_that_can_be_read_and_names_the_rest() {
     run(async {
--- a/crates/core/tests/packs.rs
+++ b/crates/core/tests/packs.rs
@@ -4,6 +4,7 @@
 use copperhaven_core::for_tests::{T0, TERM, add_job, cell, commit, exchange, record, report};
 use copperhaven_core::records::{Change, OnRecord, PackRecord, Record};
 use copperhaven_core::state::cell::Cell;
+use copperhaven_core::state::ledger::Key;
 use copperhaven_core::takeover::{Records, rebuild};
 use copperhaven_wire::workers::Report;
 use std::collections::BTreeMap;
@@ -112,6 +113,29 @@
     assert_eq!(told(&commit(&mut c)).remove("p/0"), Some(None));
 }
 
+#[test]
+fn where_the_limit_has_fallen_a_pack_goes_on_listing_who_leaves_until_that_is_safe() {
+    let mut c = running(3);
+    c.pack_machines();
+    c.move_lists(9);
+    commit(&mut c);
+    let ids: Vec<_> = c.machines.keys().copied().collect();
+    // One that stays is to be written when the limit falls: two to a pack from here on.
+    c.touch(Key::Machine(ids[0]));
+    c.ledger.value_limit = 4096;
+    c.pack_machines();
+    let batch = c.batch(1).expect("the pack");
+    let all = Some(vec!["n-1".to_string(), "n-2".into(), "n-3".into()]);
+    assert_eq!(told(&batch.apply), BTreeMap::from([("p/0".to_string(), all)]));
+    c.applied(&batch, 2000);
+    let batch = c.batch(1).expect("its own record");
+    assert_eq!(told(&batch.apply).keys().collect::<Vec<_>>(), ["m/n-3"]);
+    c.applied(&batch, 2001);
+    let batch = c.batch(1).expect("the pack without it");
+    let two = Some(vec!["n-1".to_string(), "n-2".into()]);
+    assert_eq!(told(&batch.apply), BTreeMap::from([("p/0".to_string(), two)]));
+}
+
 fn pack(lists: &[(&str, &str, &str)]) -> PackRecord {
     let machine = |(name, berth, job): &(&str, &str, &str)| {
         let on = match *job {
