--- a/crates/controller/src/leadership/load.rs
+++ b/crates/controller/src/leadership/load.rs
@@ -1,12 +1,13 @@
 //! Reading the records at a takeover, and how jobs ended that others wait for.
 
-use crate::leadership::ms;
+use crate::leadership::{ms, stages};
 use crate::node::Node;
 use crate::store::StoreError;
 use copperhaven_core::records::*;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::takeover::{Records, rebuild};
 use copperhaven_recovery::phase::Recovery;
+use copperhaven_rollout::{PACKS, Stage};
 use tokio::time::sleep;
 
 /// Reads every record and puts the cell together. What machines may hold is a superset.
@@ -14,16 +15,20 @@
     let begun = node.now();
     let store = &node.store;
     // Side by side: from the election on nobody but this leader changes them, and it does not yet.
-    let (jobs, done, machines, rentals, links, service, provided) = tokio::join!(
+    let (jobs, done, machines, packs, rentals, links, service, provided) = tokio::join!(
         store.list::<JobRecord>("j/"),
         store.list::<DoneRecord>("d/"),
         store.list::<MachineRecord>("m/"),
+        store.list::<PackRecord>("p/"),
         store.list::<RentalRecord>("r/"),
         store.list::<LinksRecord>("a/"),
         store.list::<ServiceRecord>(SERVICE),
         store.get::<ProvidedRecord>(PROVIDED),
     );
-    let (jobs, done, machines, rentals, links) = (jobs?, done?, machines?, rentals?, links?);
+    let stages = stages::read(node).await?.0;
+    let packed = stages.stage(PACKS) == Stage::Written;
+    let (jobs, done, machines, packs) = (jobs?, done?, machines?, packs?);
+    let (rentals, links) = (rentals?, links?);
     // No rule rests on what was served to whom: without it the order of service starts from what is
     // open.
     let service = match service {
@@ -42,7 +47,7 @@
         }
         Err(e) => return Err(e),
     };
-    let bad = [jobs.bad, done.bad, machines.bad, rentals.bad, links.bad].concat();
+    let bad = [jobs.bad, done.bad, machines.bad, packs.bad, rentals.bad, links.bad].concat();
     let Some((names, flavors)) = node.known_flavors() else { return Err(StoreError::Malformed) };
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
@@ -53,6 +58,8 @@
         jobs: jobs.rows,
         done: done.rows,
         machines: machines.rows,
+        packs: packs.rows,
+        packed,
         rentals: rentals.rows,
         links: links.rows,
         service,
