--- a/crates/controller/tests/world/main.rs
+++ b/crates/controller/tests/world/main.rs
@@ -9,6 +9,7 @@
 mod returns;
 mod schedules;
 mod services;
+mod stages;
 mod workers;
 
 use copperhaven::cluster::frames::Op;
--- a/crates/controller/tests/world/services.rs
+++ b/crates/controller/tests/world/services.rs
@@ -77,6 +77,11 @@
 }
 
 impl Store {
+    /// How many keys with this prefix there are.
+    pub fn count(&self, prefix: &str) -> usize {
+        self.pairs.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
     fn expire(&mut self) {
         let now = Instant::now();
         self.leases.retain(|_, (end, _)| *end > now);
