Nobody is in need on what few jobs may do by chance

Change: a class in need needs its class or team as a whole to be below the floor by a standard deviation.

--- a/crates/fairness/src/ledger.rs
+++ b/crates/fairness/src/ledger.rs
@@ -57,6 +57,15 @@
         done / (done + f64::from(self.late))
     }
 
+    /// The most that the share may be, as far as so few jobs tell: one standard deviation above what was counted.
+    /// Three late jobs of six are bad luck, three hundred of six hundred are famine (found on 28 machines, where
+    /// a handful of late jobs changed the order for everybody).
+    pub fn share_at_most(&self, now: u64) -> f64 {
+        let n = self.lately.done.at(now) + PRIOR + f64::from(self.late);
+        let share = self.share(now);
+        (share + (share * (1.0 - share) / n).sqrt()).min(1.0)
+    }
+
     /// The part of its work that was lost of late because it was stopped for others.
     pub fn lost(&self, now: u64) -> f64 {
         let lost = self.lately.lost_s.at(now);
--- a/crates/fairness/src/need.rs
+++ b/crates/fairness/src/need.rs
@@ -7,7 +7,7 @@
 //! served in proportion to what the team offers of each. While nobody is below the floor, nobody goes
 //! before anybody.
 
-use crate::ledger::Service;
+use crate::ledger::{Row, Service};
 use crate::shares::{Want, max_min};
 use crate::{Pair, Team};
 use std::collections::BTreeMap;
@@ -81,8 +81,16 @@
     /// Is anybody served less than the floor? If not, there is no need to work out claims.
     pub fn is_short(&self) -> bool {
         let short = |late: u32, share: f64| late > 0 && Need::of(share).is_some();
-        self.pairs().any(|(_, r)| short(r.late, r.share(self.now)))
-            || self.teams().any(|(_, r)| short(r.late, r.share(self.now)))
+        self.pairs().any(|(p, r)| short(r.late, r.share(self.now)) && self.famine(p))
+            || self.teams().any(|(_, r)| short(r.late, r.share_at_most(self.now)))
+    }
+
+    /// Is the class, or the team, served too little as a whole, beyond what so few jobs may do by chance? A pair of
+    /// them has few jobs even in a flood.
+    fn famine(&self, (team, class): Pair) -> bool {
+        let of =
+            |row: Option<&Row>| row.is_some_and(|r| Need::of(r.share_at_most(self.now)).is_some());
+        of(self.class(class)) || of(self.team(team))
     }
 
     /// Who is in need, with so many CPUs to share. `claims`: what every team uses and wants; whoever
@@ -90,7 +98,7 @@
     pub fn needs(&self, claims: &BTreeMap<Team, Claim>, cpus: f64) -> Needs {
         let now = self.now;
         let mut needs = Needs::default();
-        for (pair, row) in self.pairs().filter(|(_, r)| r.late > 0) {
+        for (pair, row) in self.pairs().filter(|(p, r)| r.late > 0 && self.famine(*p)) {
             let need = Need::of(row.share(now));
             if need.is_some() {
                 needs.pairs.insert(pair, need);
@@ -109,7 +117,7 @@
         let due = max_min(&wants, had.iter().sum());
         for (i, (team, claim)) in claims.iter().enumerate() {
             let Some(row) = self.team(*team).filter(|r| r.late > 0) else { continue };
-            let need = Need::of(row.share(now));
+            let need = Need::of(row.share_at_most(now));
             let uses = (claim.uses + (had[i] - due[i]) / CATCH_UP_S).max(0.0);
             if need.is_some() && claim.weight > 0.0 && uses < fair[i] {
                 needs.teams.insert(*team, (uses, fair[i], claim.weight));
--- a/crates/fairness/tests/service.rs
+++ b/crates/fairness/tests/service.rs
@@ -308,7 +308,7 @@
     // (done of late, late jobs; of class 0 in team 0, of class 0 in team 1, of class 1 in team 0; classes in
     // need, teams in need)
     type Side = (u64, u64);
-    let cases: [([Side; 3], [bool; 3], [bool; 2]); 6] = [
+    let cases: [([Side; 3], [bool; 3], [bool; 2]); 9] = [
         ([(0, 0), (0, 0), (0, 0)], [false, false, false], [false, false]),
         ([(50, 3), (50, 0), (50, 0)], [false, false, false], [false, false]),
         // A class that starves in one team says nothing of the other's jobs.
@@ -317,6 +317,10 @@
         ([(5, 30), (200, 0), (5, 30)], [true, false, true], [true, false]),
         // One late job alone starves nobody.
         ([(8, 2), (0, 0), (0, 0)], [false, false, false], [false, false]),
+        // Nor do three late of five; three hundred of five hundred do, and none of six.
+        ([(2, 3), (0, 0), (0, 0)], [false, false, false], [false, false]),
+        ([(200, 300), (0, 0), (0, 0)], [true, false, false], [true, false]),
+        ([(0, 6), (0, 0), (0, 0)], [true, false, false], [true, false]),
     ];
     let pairs = [(Team(0), Class(0)), (Team(1), Class(0)), (Team(0), Class(1))];
     for (i, (sides, classes, teams)) in cases.into_iter().enumerate() {
