--- a/crates/core/benches/leader.rs
+++ b/crates/core/benches/leader.rs
@@ -5,7 +5,7 @@
 //! that wait. One core; no state service, no sockets.
 
 use copperhaven_core::admission::shape::admit_shape;
-use copperhaven_core::for_tests::{T0, TEAMS, TERM, body, report, sample_with};
+use copperhaven_core::for_tests::{T0, TEAMS, TERM, body, large, report, sample_with};
 use copperhaven_core::records::{Cond, JobRecord, MachineRecord, OnRecord};
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::state::fleet::Flavor;
@@ -13,7 +13,6 @@
 use copperhaven_core::state::names::{JobId, Names};
 use copperhaven_core::takeover::{Records, rebuild};
 use copperhaven_core::workers::reports::Taken;
-use copperhaven_wire::cloud::WireFlavor;
 use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
 use copperhaven_wire::workers::{Parcel, Report};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
@@ -66,20 +65,8 @@
     let teams = format!("teams = [{}, {}]", team("red"), team("blue"));
     let settings = Arc::new(sample_with(&[(TEAMS, &teams)]));
     let mut names = Names::new(&settings);
-    let wire = WireFlavor {
-        label: "large".into(),
-        cpus: 32.0,
-        cards: 0.0,
-        mem_gb: 64.0,
-        cache_gb: 50.0,
-        fetch_gb_per_s: 0.2,
-        hourly: 1.5,
-        spot_price: 0.4,
-        startup_s: 50.0,
-        yards: vec!["north".into(), "south".into()],
-    };
     names.types.intern("large");
-    let flavors = vec![Flavor::from_wire(&wire, &mut names)];
+    let flavors = vec![Flavor::from_wire(&large(&["north", "south"]), &mut names)];
     let leader = Cond { path: "c/leader".into(), stamp: 5 };
     let mut c = Cell::new(settings, TERM, leader, T0, names, flavors);
     c.fleet.provided = Some(0);
--- a/crates/core/examples/flood.rs
+++ b/crates/core/examples/flood.rs
@@ -7,14 +7,13 @@
 //! arguments the sizes of the table in `docs/results.md`.
 
 use copperhaven_core::admission::shape::admit_shape;
-use copperhaven_core::for_tests::{OBJECTIVES, TEAMS, body, report, sample_with};
+use copperhaven_core::for_tests::{OBJECTIVES, TEAMS, body, large, report, sample_with};
 use copperhaven_core::records::Cond;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::state::fleet::Flavor;
 use copperhaven_core::state::ledger::Key;
 use copperhaven_core::state::names::Names;
 use copperhaven_core::workers::reports::Taken;
-use copperhaven_wire::cloud::WireFlavor;
 use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
 use copperhaven_wire::workers::{Order, Parcel, Report};
 use rand::rngs::StdRng;
@@ -95,20 +94,8 @@
     fn new(machines: usize) -> World {
         let settings = Arc::new(settings(machines));
         let mut names = Names::new(&settings);
-        let wire = WireFlavor {
-            label: "large".into(),
-            cpus: 32.0,
-            cards: 0.0,
-            mem_gb: 64.0,
-            cache_gb: 50.0,
-            fetch_gb_per_s: 0.2,
-            hourly: 1.55,
-            spot_price: 0.38,
-            startup_s: 50.0,
-            yards: ZONES.iter().map(|z| (*z).into()).collect(),
-        };
         names.types.intern("large");
-        let flavors = vec![Flavor::from_wire(&wire, &mut names)];
+        let flavors = vec![Flavor::from_wire(&large(&ZONES), &mut names)];
         let leader = Cond { path: "c/leader".into(), stamp: 50 };
         let mut cell = Cell::new(settings, 7, leader, 100_000, names, flavors);
         cell.fleet.provided = Some(0);
--- a/crates/core/src/for_tests.rs
+++ b/crates/core/src/for_tests.rs
@@ -179,3 +179,19 @@
         })
         .collect()
 }
+
+/// A machine type of 32 CPUs in these zones, as the cloud tells it.
+pub fn large(yards: &[&str]) -> WireFlavor {
+    WireFlavor {
+        label: "large".into(),
+        cpus: 32.0,
+        cards: 0.0,
+        mem_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.2,
+        hourly: 1.5,
+        spot_price: 0.4,
+        startup_s: 50.0,
+        yards: yards.iter().map(ToString::to_string).collect(),
+    }
+}
