copperhaven stages: how far changes of the stored state are, and what holds them back

Need: operators have to see who has not recorded that it can, before and while a release is rolled out.

Change: a subcommand that reads the stages and what members recorded, and tells the next step by the same decision as the leader's. Exit codes 0, 2, 4.

--- a/crates/controller/src/client.rs
+++ b/crates/controller/src/client.rs
@@ -1,8 +1,15 @@
-//! The command that shows a user what a job does and why it waits.
+//! The commands that ask: what a job does and why it waits; how far changes of the stored state are.
 
 use crate::http::Client;
+use crate::net::Net;
+use crate::store::{Store, StoreError};
+use copperhaven_core::records::{CAN, STAGES};
+use copperhaven_core::settings::Settings;
+use copperhaven_rollout::{ABILITIES, CanRecord, Holds, Next, StagesRecord, next};
 use copperhaven_wire::jobs::{Shown, valid_uid};
 use hyper::Method;
+use std::collections::BTreeMap;
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +19,59 @@
 pub const UNKNOWN: u8 = 3;
 pub const NO_ANSWER: u8 = 4;
 
+/// How far each change of the stored state is, who has recorded that it can, and what comes next; read at the
+/// state service that the settings name.
+pub async fn stages(settings: &Settings) -> (String, u8) {
+    let state = &settings.endpoints.state;
+    match read_stages(&Store::new(Net::Tcp, state.clone())).await {
+        Ok((stages, cans)) => (told(settings, &stages, &cans), DONE),
+        Err(e) => (format!("no answer from {state} (setting `endpoints.state`): {e}"), NO_ANSWER),
+    }
+}
+
+type Cans = BTreeMap<String, CanRecord>;
+
+async fn read_stages(store: &Store) -> Result<(StagesRecord, Cans), StoreError> {
+    let stages = store.get::<StagesRecord>(STAGES).await?.map(|(s, _)| s).unwrap_or_default();
+    let cans = store.list::<CanRecord>(CAN).await?.rows.into_iter();
+    Ok((stages, cans.map(|(path, can, _)| (path.trim_start_matches(CAN).into(), can)).collect()))
+}
+
+fn told(settings: &Settings, stages: &StagesRecord, cans: &Cans) -> String {
+    let members: Vec<String> = settings.member_names().map(String::from).collect();
+    let mut out = String::new();
+    for m in &members {
+        let can = cans.get(m).map_or("nothing recorded".into(), |c| {
+            let can: Vec<&str> = c.can.iter().map(String::as_str).collect();
+            format!("release {}, can {}", c.release, can.join(", "))
+        });
+        let _ = writeln!(out, "{m}: {can}");
+    }
+    for ability in ABILITIES {
+        let stage = stages.stage(ability);
+        // Whether records of it are left only its leader knows; they are taken to be.
+        let comes = match next(ability, stages, &members, cans, &settings.wish(), true) {
+            Next::Move(to, _) => format!("{} next", to.name()),
+            Next::Hold(Holds::Done) => "as far as it goes".into(),
+            Next::Hold(Holds::Off) => "stays so: abilities_off".into(),
+            Next::Hold(Holds::Upgraded) => {
+                "an older release wrote here before: waits for abilities_on".into()
+            }
+            Next::Hold(Holds::Members(m)) if m.is_empty() => "all members are left out".into(),
+            Next::Hold(Holds::Members(m)) => format!("waits for {}", m.join(", ")),
+            Next::Hold(Holds::Records) => "waits until none of its records is left".into(),
+        };
+        let since =
+            stages.stages.get(ability).map_or(String::new(), |r| format!(" since term {}", r.term));
+        let _ = writeln!(out, "{ability}: {}{since}; {comes}", stage.name());
+    }
+    if let Some(unknown) = stages.unknown() {
+        let _ =
+            writeln!(out, "{unknown}: in use, and not known to this release, which does not lead");
+    }
+    out.trim_end().into()
+}
+
 /// Asks about a job, or cancels it. Returns the text for the user and the exit code.
 pub async fn job(uid: &str, server: &str, cancel: bool) -> (String, u8) {
     if !valid_uid(uid) {
@@ -99,4 +159,25 @@
             "; waits for other jobs to be done: wk-2, wk-3 and 3 more; held back by wk-7 (render), running"
         ), "{text}");
     }
+
+    #[test]
+    fn stages_are_told_with_what_holds_them_back() {
+        let settings = copperhaven_core::for_tests::sample();
+        let can = |m: &str| (m.to_string(), CanRecord::own(2));
+        let born = StagesRecord { born: true, ..StagesRecord::default() };
+        let written = born.with("packs", copperhaven_rollout::Stage::Written, 4, vec![]);
+        for (stages, cans, expected) in [
+            (
+                &born,
+                vec![can("c-0")],
+                "c-1: nothing recorded\nc-0: release 2, can packs\npacks: known; waits for c-1",
+            ),
+            (&born, vec![can("c-0"), can("c-1")], "packs: known; written next"),
+            (&StagesRecord::default(), vec![], "packs: known; an older release wrote here before"),
+            (&written, vec![], "packs: written since term 4; as far as it goes"),
+        ] {
+            let text = told(&settings, stages, &cans.into_iter().collect());
+            assert!(text.contains(expected), "{text}");
+        }
+    }
 }
--- a/crates/controller/src/main.rs
+++ b/crates/controller/src/main.rs
@@ -58,6 +58,9 @@
         #[arg(long)]
         server: String,
     },
+    /// Show how far changes of the stored state are and what they wait for. Exit codes: 0 answered, 2 bad
+    /// settings, 4 no answer.
+    Stages(Files),
     /// Tell the program's version and the release that it speaks to other controllers.
     Version,
 }
@@ -110,7 +113,10 @@
 }
 
 fn job(id: &str, server: &str, cancel: bool) -> Result<(), ExitCode> {
-    let (text, code) = runtime()?.block_on(client::job(id, server, cancel));
+    show(runtime()?.block_on(client::job(id, server, cancel)))
+}
+
+fn show((text, code): (String, u8)) -> Result<(), ExitCode> {
     if code == client::DONE {
         println!("{text}");
         return Ok(());
@@ -119,6 +125,11 @@
     Err(ExitCode::from(code))
 }
 
+fn stages(files: &Files) -> Result<(), ExitCode> {
+    let settings = load(files)?;
+    show(runtime()?.block_on(client::stages(&settings)))
+}
+
 /// Runs a controller, for as long as nothing is wrong.
 fn serve(files: &Files, format: LogFormat) -> Result<(), ExitCode> {
     log_to_stderr(format);
@@ -153,6 +164,7 @@
         (Some(Command::Job { id, action, server }), _) => {
             job(id, server, *action == Action::Cancel)
         }
+        (Some(Command::Stages(files)), _) => stages(files),
         (Some(Command::Version), _) => {
             let release = copperhaven::cluster::frames::RELEASE;
             println!("copperhaven {}, release {release}", env!("CARGO_PKG_VERSION"));
--- a/crates/controller/tests/command.rs
+++ b/crates/controller/tests/command.rs
@@ -36,7 +36,7 @@
     let operators = deploy("sample-operators.yaml").display().to_string();
     let ok = "settings of controller-0 are valid\n";
     // (arguments, exit code, in standard output, in standard error)
-    let cases: [(&[&str], i32, &str, &str); 15] = [
+    let cases: [(&[&str], i32, &str, &str); 17] = [
         (&["check", "--config", &platform], 0, ok, ""),
         (&["check", "--config", &platform, "--tuning", &operators], 0, ok, ""),
         (&["--config", &platform, "--check"], 0, ok, ""),
@@ -50,6 +50,8 @@
         (&["--check", "version"], 2, "", "go behind the subcommand"),
         (&["--log-format", "json", "version"], 0, "copperhaven ", ""),
         (&["version"], 0, "release 2", ""),
+        (&["stages"], 2, "", "--config"),
+        (&["stages", "--config", &platform], 4, "", "(setting `endpoints.state`)"),
         (&["job", "job-1", "--server", "127.0.0.1:1"], 2, "", "is no job id"),
         (&["job", "wk-1", "--server", "127.0.0.1:1"], 4, "", "no answer from 127.0.0.1:1"),
     ];
