Read once more: stages read beside the records, one place says who is in need

Need: a takeover read the stages after everything else, a round trip more; whether a pair is in need was decided in two places, a machine's share of a value worked out in two, and the start of a takeover set up twice.

Change: one of each.

--- a/crates/controller/src/leadership/load.rs
+++ b/crates/controller/src/leadership/load.rs
@@ -6,7 +6,6 @@
 use copperhaven_core::records::*;
 use copperhaven_core::state::cell::Cell;
 use copperhaven_core::takeover::{Records, rebuild};
-use copperhaven_recovery::phase::Recovery;
 use copperhaven_rollout::{PACKS, Stage};
 use tokio::time::sleep;
 
@@ -15,7 +14,7 @@
     let begun = node.now();
     let store = &node.store;
     // Side by side: from the election on nobody but this leader changes them, and it does not yet.
-    let (jobs, done, machines, packs, rentals, links, service, provided) = tokio::join!(
+    let (jobs, done, machines, packs, rentals, links, service, provided, stages) = tokio::join!(
         store.list::<JobRecord>("j/"),
         store.list::<DoneRecord>("d/"),
         store.list::<MachineRecord>("m/"),
@@ -24,9 +23,9 @@
         store.list::<LinksRecord>("a/"),
         store.list::<ServiceRecord>(SERVICE),
         store.get::<ProvidedRecord>(PROVIDED),
+        stages::read(node),
     );
-    let stages = stages::read(node).await?.0;
-    let packed = stages.stage(PACKS) == Stage::Written;
+    let packed = stages?.0.stage(PACKS) == Stage::Written;
     let (jobs, done, machines, packs) = (jobs?, done?, machines?, packs?);
     let (rentals, links) = (rentals?, links?);
     // No rule rests on what was served to whom: without it the order of service starts from what is
@@ -52,8 +51,7 @@
     let leader = Cond { path: LEADER.into(), stamp };
     let now = node.now();
     let mut cell = Cell::new(node.settings.clone(), term, leader, now, names, flavors);
-    let report_ms = (node.settings.deployment.workers.report_s * 1000.0) as u64;
-    cell.recovery = Recovery::begin(begun, report_ms);
+    cell.recovery.since(begun);
     let read = Records {
         jobs: jobs.rows,
         done: done.rows,
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -257,11 +257,7 @@
                 batch.keys.push(key.clone());
                 continue;
             }
-            if full {
-                continue;
-            }
-            if self.alone && !batch.keys.is_empty() {
-                full = true;
+            if full || (self.alone && !batch.keys.is_empty()) {
                 continue;
             }
             let missing = |k: &Key| !self.saved.contains_key(k) && !batch.keys.contains(k);
--- a/crates/core/src/state/packs.rs
+++ b/crates/core/src/state/packs.rs
@@ -49,7 +49,7 @@
     /// What of a value the list of a machine may fill.
     pub fn share(&self, mid: MachineId, value_limit: usize) -> usize {
         if self.of.contains_key(&mid) && self.most > 0 {
-            value_limit / self.most
+            self.share_of_each(value_limit)
         } else {
             value_limit
         }
--- a/crates/fairness/src/need.rs
+++ b/crates/fairness/src/need.rs
@@ -81,10 +81,16 @@
     /// Is anybody served less than the floor? If not, there is no need to work out claims.
     pub fn is_short(&self) -> bool {
         let short = |late: u32, share: f64| late > 0 && Need::of(share).is_some();
-        self.pairs().any(|(p, r)| short(r.late, r.share(self.now)) && self.famine(p))
+        self.pairs().any(|(pair, row)| self.need_of(pair, row).is_some())
             || self.teams().any(|(_, r)| short(r.late, r.share_at_most(self.now)))
     }
 
+    /// How urgently a class of a team is in need.
+    fn need_of(&self, pair: Pair, row: &Row) -> Need {
+        let need = if row.late > 0 { Need::of(row.share(self.now)) } else { Need::NONE };
+        if need.is_some() && self.famine(pair) { need } else { Need::NONE }
+    }
+
     /// Is the class, or the team, served too little as a whole, beyond what so few jobs may do by chance? A pair of
     /// them has few jobs even in a flood.
     fn famine(&self, (team, class): Pair) -> bool {
@@ -98,8 +104,8 @@
     pub fn needs(&self, claims: &BTreeMap<Team, Claim>, cpus: f64) -> Needs {
         let now = self.now;
         let mut needs = Needs::default();
-        for (pair, row) in self.pairs().filter(|(p, r)| r.late > 0 && self.famine(*p)) {
-            let need = Need::of(row.share(now));
+        for (pair, row) in self.pairs() {
+            let need = self.need_of(pair, row);
             if need.is_some() {
                 needs.pairs.insert(pair, need);
             }
--- a/crates/recovery/src/phase.rs
+++ b/crates/recovery/src/phase.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// The term was won then, before anything was read.
+    pub fn since(&mut self, won: u64) {
+        self.begun = won;
+    }
+
     /// All records are read; these machines are on record.
     pub fn read(&mut self, machines: impl IntoIterator<Item = (Machine, Zone)>, now: u64) {
         self.read = Some(now);
