--- a/crates/core/src/placement/slots.rs
+++ b/crates/core/src/placement/slots.rs
@@ -111,7 +111,7 @@
         self.machines
             .iter()
             .filter(|(_, m)| m.usable(now, silence) && m.foreign.is_empty())
-            .map(|(mid, m)| (mid, m, self.record_room(*mid, m)))
+            .map(|(mid, m)| (mid, m, self.record_room(m)))
             .filter(|(.., record)| *record >= GROUP_BYTES + RANGE_BYTES)
             .map(|(mid, m, record)| Slot {
                 images: m.images.iter().map(|(i, _)| *i).collect(),
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -2,44 +2,62 @@
 //! durable first; an unknown outcome is read back).
 
 use crate::records::FinalRecord;
-use crate::state::book::{Book, GROUP_BYTES, RANGE_BYTES};
+use crate::state::book::Book;
 use crate::state::cell::Cell;
 use crate::state::job::{CHUNK, Wait};
 use crate::state::ledger::{Batch, Key};
 use crate::state::machine::Seen;
 use crate::state::names::*;
+use crate::state::packs::{Dirty, FRAME_BYTES, PackId};
 use crate::state::served;
 
 impl Cell {
-    /// Lists of machines are written in packs from here on. One whose list is too long for its part of a value
-    /// keeps its own record.
+    /// Lists of machines are written in packs from here on. Those that have records of their own move at a pace.
     pub fn pack_machines(&mut self) {
         self.packs.turn_on(self.ledger.value_limit);
-        self.unpack_surplus();
-        let share = self.packs.share_of_each(self.ledger.value_limit);
-        let all: Vec<MachineId> = self.machines.keys().copied().collect();
-        for mid in all {
-            let Some(m) = self.machines.get(&mid) else { continue };
-            let rough = 256 + m.foreign.len() * 128 + m.entries.len() * (GROUP_BYTES + RANGE_BYTES);
-            if rough <= share && self.packs.add(mid).is_some() {
-                let own = format!("m/{}", m.name);
-                if self.ledger.has_path(&own) {
-                    self.packs.to_move(mid);
-                }
+        if !self.packs.are_on() {
+            return self.unpack_machines();
+        }
+        for (mid, m) in self.machines.iter() {
+            if self.ledger.has_path(&format!("m/{}", m.name)) {
+                self.packs.to_move(*mid);
             }
         }
     }
 
     /// Lists of machines have records of their own again. What stands in packs moves.
     pub fn unpack_machines(&mut self) {
-        self.packs.turn_on(0);
-        self.unpack_surplus();
+        self.packs.turn_off();
+        for mid in self.packs.packed() {
+            let ver = self.touch(Key::Machine(mid));
+            let ledger = &self.ledger;
+            self.packs.leave(mid, ver, |mid, ver| ledger.is_saved(&Key::Machine(mid), ver));
+        }
     }
 
-    fn unpack_surplus(&mut self) {
-        for mid in self.packs.surplus() {
+    /// Those that have something to record go to packs together.
+    fn regroup(&mut self) {
+        let dirty: Vec<Dirty> = self
+            .ledger
+            .machines_to_write()
+            .filter_map(|mid| Some((mid, self.record_used(self.machines.get(&mid)?))))
+            .filter(|(mid, bytes)| {
+                // One that is too long for a value by itself stays where it is, until it shrinks.
+                !(self.ledger.is_held_back(&Key::Machine(*mid))
+                    && *bytes > self.ledger.value_limit - FRAME_BYTES)
+            })
+            .map(|(mid, bytes)| Dirty { mid, bytes })
+            .collect();
+        if dirty.is_empty() {
+            return;
+        }
+        let listed = |mid| self.machines.get(&mid).map_or(0, |m| self.record_used(m));
+        let safe = |mid, ver| self.ledger.is_saved(&Key::Machine(mid), ver);
+        let moves = self.packs.plan(&dirty, self.ledger.value_limit, listed, safe);
+        for (mid, pack) in moves {
             let ver = self.touch(Key::Machine(mid));
-            self.packs.leave(mid, ver);
+            let ledger = &self.ledger;
+            self.packs.move_to(mid, pack, ver, |mid, ver| ledger.is_saved(&Key::Machine(mid), ver));
         }
     }
 
@@ -58,6 +76,9 @@
 
     /// The same, with so many of the changes left to what users wait for.
     pub fn batch_with_reserve(&mut self, ops: usize, reserve: usize) -> Option<Batch> {
+        if self.packs.are_on() {
+            self.regroup();
+        }
         let Cell { ledger, jobs, machines, links, fleet, names, aside, service, packs, .. } = self;
         let draft = ledger.draft(
             &Book { jobs, machines, links, fleet, names, aside, service, packs },
@@ -86,6 +107,14 @@
 
     /// A transaction was applied at `rev`.
     pub fn applied(&mut self, batch: &Batch, rev: u64) {
+        for change in &batch.apply {
+            let number = change.path().strip_prefix("p/").and_then(|n| n.parse().ok());
+            if let Some(pack) = number.map(PackId) {
+                // As it was rendered: before this transaction makes anything else safe.
+                let ledger = &self.ledger;
+                self.packs.written_anew(pack, |mid, ver| ledger.is_saved(&Key::Machine(mid), ver));
+            }
+        }
         self.ledger.applied(batch, rev);
         for key in &batch.keys {
             match key {
@@ -122,10 +151,9 @@
                     if !self.machines.contains_key(mid) {
                         self.ledger.unmark(key);
                     }
-                    if let Some((_, ver)) = self.packs.leaves(*mid)
-                        && self.is_saved(key, ver)
-                        && let Some(pack) = self.packs.left(*mid)
-                    {
+                    let ledger = &self.ledger;
+                    let safe = |mid, ver| ledger.is_saved(&Key::Machine(mid), ver);
+                    for pack in self.packs.left(*mid, safe) {
                         self.touch(Key::Pack(pack));
                     }
                 }
--- a/crates/core/src/state/book.rs
+++ b/crates/core/src/state/book.rs
@@ -9,7 +9,7 @@
 use crate::state::links::Links;
 use crate::state::machine::Machine;
 use crate::state::names::*;
-use crate::state::packs::{PackId, Packs};
+use crate::state::packs::{FRAME_BYTES, PackId, Packs};
 use crate::state::served;
 use crate::state::table::Table;
 use copperhaven_fairness::ledger::Service;
@@ -63,7 +63,8 @@
     /// All machines of a pack; none: it is to go, if it is there.
     fn pack(&self, pack: PackId, ledger: &Ledger) -> Vec<Change> {
         let path = format!("p/{}", pack.0);
-        let members = self.packs.members(pack).filter_map(|mid| self.machines.get(&mid));
+        let safe = |mid, ver| ledger.is_saved(&Key::Machine(mid), ver);
+        let members = self.packs.written(pack, &safe).filter_map(|mid| self.machines.get(&mid));
         let packed: BTreeMap<String, MachineRecord> =
             members.map(|m| (m.name.clone(), self.machine_record(m))).collect();
         match packed.is_empty() {
@@ -210,18 +211,26 @@
 
     /// Bytes that a machine's record has left for more tasks, counting what the ranges of those on
     /// it may grow to as some of them end.
-    pub fn record_room(&self, mid: MachineId, m: &Machine) -> usize {
+    pub fn record_room(&self, m: &Machine) -> usize {
+        let most = self.ledger.value_limit;
+        // Alone in a pack, if it is that long.
+        let most = if self.packs.are_on() { most.saturating_sub(FRAME_BYTES) } else { most };
+        most.saturating_sub(self.record_used(m))
+    }
+
+    /// Bytes that the list of a machine takes of a value at most.
+    pub(crate) fn record_used(&self, m: &Machine) -> usize {
         let names =
             self.names.types.name(m.kind.ix()).len() + self.names.zones.name(m.zone.ix()).len();
-        let base = 96 + m.addr.len() + names;
         // Its name stands in a pack, and a little around it.
-        let packed = if self.packs.of(mid).is_some() { m.name.len() + 8 } else { 0 };
-        let share = self.packs.share(mid, self.ledger.value_limit);
-        let left = share.saturating_sub(base + packed);
+        let packed = if self.packs.are_on() { m.name.len() + 8 } else { 0 };
+        let foreign: usize =
+            m.foreign.iter().map(|on| GROUP_BYTES + on.j.len() + on.r.len() * RANGE_BYTES).sum();
+        let base = 96 + m.addr.len() + names + packed + foreign;
         // Most machines hold few tasks: no need to look closer.
         let rough = m.entries.len() * (GROUP_BYTES + RANGE_BYTES);
-        if rough + 8 * GROUP_BYTES < left {
-            return left - rough;
+        if m.entries.len() <= 2 {
+            return base + rough;
         }
         let mut used = 0;
         let (mut last, mut run): (Option<(JobId, u64, u32)>, usize) = (None, 0);
@@ -241,6 +250,6 @@
             }
             last = Some((*id, e.attempt, *task));
         }
-        left.saturating_sub(used + ranges(run))
+        base + used + ranges(run)
     }
 }
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -356,7 +356,6 @@
             reserved: None,
         };
         self.machines.insert(mid, machine);
-        self.packs.add(mid);
         mid
     }
 
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -208,6 +208,25 @@
         }
     }
 
+    /// The newest version of anything that was marked.
+    pub fn version(&self) -> u64 {
+        self.ver
+    }
+
+    /// Machines with something to record, those that have waited longest first.
+    pub fn machines_to_write(&self) -> impl Iterator<Item = MachineId> + use<> {
+        let mut order: Vec<(u64, MachineId)> = self
+            .dirty
+            .iter()
+            .filter_map(|(key, (since, _))| match key {
+                Key::Machine(mid) => Some((*since, *mid)),
+                _ => None,
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, mid)| mid)
+    }
+
     /// Is anything to be recorded that users wait for?
     pub fn users_wait(&self) -> bool {
         self.dirty.keys().any(|k| k.urgency() == 0)
--- a/crates/core/src/takeover/mod.rs
+++ b/crates/core/src/takeover/mod.rs
@@ -11,7 +11,7 @@
 use crate::state::served;
 use copperhaven_recovery::{Machine, Zone};
 use copperhaven_wire::jobs::check;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 type Rows<T> = Vec<(String, T, u64)>;
@@ -248,16 +248,17 @@
 
 /// Machines whose lists stand together in one record.
 fn read_packs(cell: &mut Cell, packs: Rows<PackRecord>, now: u64) {
-    let mut seen: BTreeSet<String> = BTreeSet::new();
+    // What all lists of a machine say together is safe with the next write of it.
+    let ver = cell.ledger.version() + 1;
     for (path, record, stamp) in packs {
         cell.ledger.stamp(path.clone(), Some(stamp));
         let number = path.trim_start_matches("p/").parse().ok().map(PackId);
-        // A pack is written anew as a whole. One that lists what can't be used, or is listed elsewhere, is left as
-        // it is, and those in it that can be used have records of their own from here on.
+        // A pack is written anew as a whole. One that lists what can't be used is left as it is, and those in it that
+        // can be used go elsewhere with their next change. One that another lists too is its shadow there, or here.
         let usable = |r: &MachineRecord| {
             cell.names.types.get(&r.berth).is_some() && cell.names.zones.get(&r.yard).is_some()
         };
-        let fit = record.packed.iter().all(|(name, r)| usable(r) && !seen.contains(name));
+        let fit = record.packed.values().all(usable);
         let pack = number.filter(|_| fit);
         if pack.is_none() {
             tracing::error!(
@@ -271,9 +272,8 @@
         for (name, r) in record.packed {
             read_machine(cell, (&path, &name), r, now);
             if let (Some(pack), Some(mid)) = (pack, cell.machines.id(&name)) {
-                cell.packs.inherit(mid, pack);
+                cell.packs.inherit(mid, pack, ver);
             }
-            seen.insert(name);
         }
     }
 }
--- a/crates/core/src/workers/leases.rs
+++ b/crates/core/src/workers/leases.rs
@@ -66,7 +66,7 @@
         self.nothing_hidden(&name, "the cloud has taken it back");
         self.ledger.forget(&Key::Machine(mid));
         self.ledger.drop_path(format!("m/{name}"));
-        if let Some(pack) = self.packs.remove(mid) {
+        for pack in self.packs.remove(mid) {
             self.touch(Key::Pack(pack));
         }
         for job in self.jobs.values_mut() {
