--- a/crates/controller/src/leadership/commits.rs
+++ b/crates/controller/src/leadership/commits.rs
@@ -6,6 +6,7 @@
 use copperhaven_core::caution::Caution;
 use copperhaven_core::records::*;
 use serde::de::IgnoredAny;
+use std::sync::Arc;
 use tokio::time::sleep;
 
 /// Changes that are left to users' answers: so many seconds' worth.
@@ -13,7 +14,7 @@
 
 /// Group commit: one transaction at a time, one put for each dirty key, paced below the state
 /// service's limit. Ends when the leader key is another's.
-pub(super) async fn commits(node: &Node, term: u64) -> &'static str {
+pub(super) async fn commits(node: &Arc<Node>, term: u64) -> &'static str {
     let limits = &node.settings.deployment.state;
     let most = (limits.write_rps() * 0.5).max(4.0);
     let (mut tokens, mut at) = (most, node.now());
@@ -62,11 +63,13 @@
             Outcome::Applied(rev) => {
                 caution.applied();
                 let now = node.now();
-                node.with_cell(term, |c, _| {
+                let direct = node.with_cell(term, |c, _| {
                     c.applied(&batch, rev);
                     c.ledger.alone = caution.alone > 0;
                     c.follow(now);
+                    std::mem::take(&mut c.direct)
                 });
+                node.send_directly(term, direct.unwrap_or_default());
                 node.bump();
             }
             Outcome::Conflict(keys) => {
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -89,7 +89,7 @@
     leader.get_or_create(&none).set(f64::from(u8::from(leads)));
     let (sent, left) = node.lanes.counts();
     for (fate, counts) in [("sent", sent), ("left out", left)] {
-        for (kind, n) in ["halt", "term"].into_iter().zip(counts) {
+        for (kind, n) in ["halt", "nudge", "term"].into_iter().zip(counts) {
             let labels = vec![("kind", kind.into()), ("fate", fate.into())];
             directly.get_or_create(&labels).set(n as f64);
         }
--- a/crates/controller/src/node/directly.rs
+++ b/crates/controller/src/node/directly.rs
@@ -2,8 +2,8 @@
 
 use crate::node::Node;
 use copperhaven_core::state::machine::Direct;
-use copperhaven_recovery::lane::{Budget, Lane, Urgency};
-use copperhaven_wire::workers::{Orders, Report};
+use copperhaven_recovery::lane::{Budget, KINDS, Lane, Urgency};
+use copperhaven_wire::workers::{Order, Orders, Report};
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -24,8 +24,8 @@
         Lanes(Mutex::new((0, Lane::new(budget, MOST, 0))))
     }
 
-    /// Sent and left out so far, halts before terms.
-    pub fn counts(&self) -> ([u64; 2], [u64; 2]) {
+    /// Sent and left out so far, by urgency.
+    pub fn counts(&self) -> ([u64; KINDS], [u64; KINDS]) {
         let lane = &self.0.lock().expect("lock").1;
         (lane.sent, lane.left_out)
     }
@@ -43,7 +43,7 @@
             lane.clear();
         }
         for d in all {
-            let urgency = if d.orders.is_empty() { Urgency::Term } else { Urgency::Halt };
+            let urgency = urgency(&d);
             lane.push(urgency, d);
         }
         if lane.is_empty() {
@@ -52,8 +52,12 @@
         let due = self.with_cell(term, |c, _| {
             lane.take(now, |urgency, d| {
                 let m = d.machine.and_then(|mid| c.machines.get(&mid));
-                // The answer to its own report has told it by now.
-                urgency == Urgency::Halt || m.is_none_or(|m| m.answered == 0)
+                match (urgency, d.machine) {
+                    (Urgency::Halt, _) => true,
+                    (Urgency::Nudge, mid) => mid.is_some_and(|mid| c.nudge_helps(mid)),
+                    // The answer to its own report has told it by now.
+                    (Urgency::Term, _) => m.is_none_or(|m| m.answered == 0),
+                }
             })
         });
         for d in due.unwrap_or_default() {
@@ -66,7 +70,16 @@
     }
 }
 
-/// Sends halts, or just the new term, straight to a worker. Its answer proves nothing; it only
+fn urgency(d: &Direct) -> Urgency {
+    let nudge = |o: &Order| matches!(o, Order::Run { .. });
+    match d.orders.as_slice() {
+        [] => Urgency::Term,
+        orders if orders.iter().all(nudge) => Urgency::Nudge,
+        _ => Urgency::Halt,
+    }
+}
+
+/// Sends halts, a nudge, or just the new term, straight to a worker. Its answer proves nothing; it only
 /// speeds up what the next report will show.
 async fn send(node: &Node, term: u64, mut d: Direct) {
     #[derive(serde::Serialize)]
--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -116,6 +116,7 @@
             }
         }
         self.ledger.applied(batch, rev);
+        self.nudge(&batch.keys);
         for key in &batch.keys {
             match key {
                 Key::Job(id) => {
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -56,6 +56,8 @@
     pub squared: Counts,
     next_id: usize,
     next_try: u64,
+    /// Workers are asked to report when starts wait for it.
+    pub hurry: bool,
     /// Something changed that may let a task be placed.
     pub stir: bool,
     /// When the last placement pass was.
@@ -94,6 +96,7 @@
             aside: Aside::default(),
             packs: Packs::default(),
             finals: Finals::default(),
+            hurry: settings.starts_hurry(),
             settings,
             term,
             taken: now,
@@ -337,6 +340,8 @@
             used_mem: 0.0,
             entries: BTreeMap::new(),
             last: (0, 0),
+            replied: (0, 0),
+            nudged: (0, 0),
             fenced: false,
             answered: 0,
             heard: 0,
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Orders for `/commands`: only `halt`s, or nothing but the new term.
+/// Orders for `/commands`: only `halt`s, a nudge (`workers::nudges`), or nothing but the new term.
 #[derive(Debug)]
 pub struct Direct {
     /// None: its record can't be used.
@@ -88,6 +88,9 @@
     pub entries: BTreeMap<(JobId, u32), Entry>,
     /// Newest report: session and number.
     pub last: (u64, u64),
+    /// The newest report that was answered with orders, and the one after which a nudge was sent.
+    pub(crate) replied: (u64, u64),
+    pub(crate) nudged: (u64, u64),
     /// The worker has shown this term, so no older leader can reach it any more.
     pub fenced: bool,
     /// Receipt of the last report that was answered; 0: none in this term.
--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -9,6 +9,7 @@
 pub mod ends;
 pub mod faults;
 pub mod leases;
+pub mod nudges;
 pub mod orders;
 pub mod reports;
 pub mod squaring;
--- /dev/null
+++ b/crates/core/src/workers/nudges.rs
@@ -0,0 +1,160 @@
+//! Nudges: having a worker report at once. A start goes only with the response to a report, which proves what was on
+//! the machine before; where workers report more rarely than starts may wait, that report is asked for. What asks is an
+//! order that the worker has to refuse: a task of no job. Its list has changed by that, so it reports, and the response
+//! carries the starts. Late or repeated a nudge starts nothing, whatever became of it: unlike a start that is sent
+//! directly, which may be carried out minutes later and would keep its task from being counted as absent until then.
+
+use crate::settings::Settings;
+use crate::state::cell::Cell;
+use crate::state::ledger::Key;
+use crate::state::machine::{Direct, Machine, Seen};
+use crate::state::names::MachineId;
+use copperhaven_wire::workers::Order;
+
+/// No job can have this id.
+const NUDGE: &str = "nudge/0";
+
+impl Settings {
+    /// May starts wait no longer than workers take to report? Then they are asked to.
+    pub fn starts_hurry(&self) -> bool {
+        let d = &self.deployment;
+        let starts =
+            d.objectives.iter().filter(|o| matches!(o.kind.as_str(), "wait" | "guarantee"));
+        starts.filter_map(|o| o.within_s).any(|s| s < d.workers.report_s)
+    }
+}
+
+impl Cell {
+    /// These keys are safe: whose starts wait for a report is asked for one.
+    pub(crate) fn nudge(&mut self, keys: &[Key]) {
+        if !self.hurry {
+            return;
+        }
+        for key in keys {
+            let Key::Machine(mid) = key else { continue };
+            if !self.wants_nudge(*mid) {
+                continue;
+            }
+            let attempt = self.new_attempt();
+            let Some(m) = self.machines.get_mut(mid) else { continue };
+            m.nudged = m.last;
+            let orders = vec![Order::Run { parcel: NUDGE.into(), attempt }];
+            let (addr, shift) = (m.addr.clone(), m.last.0);
+            self.direct.push(Direct { machine: Some(*mid), addr, shift, orders });
+        }
+    }
+
+    /// Has it recorded starts to be told, and no report that waits for its answer? Once for each report.
+    fn wants_nudge(&self, mid: MachineId) -> bool {
+        self.machines.get(&mid).is_some_and(|m| m.nudged != m.last && self.waits_for_report(mid, m))
+    }
+
+    fn waits_for_report(&self, mid: MachineId, m: &Machine) -> bool {
+        let key = Key::Machine(mid);
+        let unsent = |e: &crate::state::machine::Entry| {
+            e.mark.is_none() && e.seen == Seen::Not && !e.inherited && e.stop.is_none()
+        };
+        m.fenced
+            && m.replied == m.last
+            && m.entries.values().any(|e| unsent(e) && self.is_saved(&key, e.ver))
+    }
+
+    /// Is a nudge of this machine still of use?
+    pub fn nudge_helps(&self, mid: MachineId) -> bool {
+        self.machines.get(&mid).is_some_and(|m| self.waits_for_report(mid, m))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::for_tests::*;
+    use crate::workers::reports::Taken;
+
+    /// A cell whose starts hurry, with one idle machine that has reported and was answered.
+    fn hurried() -> (Cell, MachineId) {
+        let mut c = cell();
+        c.hurry = true;
+        exchange(&mut c, &report(1, 1, TERM, &[]), T0);
+        let mid = c.machines.id("n-1").expect("there");
+        (c, mid)
+    }
+
+    fn place_one(c: &mut Cell) -> usize {
+        add_job(c, "wk-1", |b| (b.parcels, b.cpus, b.due_s) = (1, 1.0, None));
+        commit(c);
+        c.place(T0 + 100);
+        assert!(c.direct.is_empty(), "nothing before it is recorded");
+        commit(c);
+        c.direct.len()
+    }
+
+    #[test]
+    fn a_machine_is_nudged_once_its_start_is_recorded_and_only_if_no_report_waits() {
+        let (mut c, mid) = hurried();
+        assert_eq!(place_one(&mut c), 1);
+        let d = c.direct.pop().expect("one");
+        let nudge = |o: &Order| matches!(o, Order::Run { parcel, .. } if parcel == NUDGE);
+        assert!(d.orders.len() == 1 && d.orders.iter().all(nudge), "no start: {:?}", d.orders);
+        assert!(c.nudge_helps(mid));
+        // Recorded again, it is not asked again; its report carries the start, and the nudge is of no use any more.
+        c.touch(Key::Machine(mid));
+        commit(&mut c);
+        assert!(c.direct.is_empty());
+        let r = report(1, 2, TERM, &[(NUDGE, 9, "ended:no_such")]);
+        assert_eq!(c.on_report(&r, T0 + 200), Taken::Answer(mid));
+        assert!(!c.nudge_helps(mid), "a report waits for its answer");
+        let orders = c.orders(mid, (1, 2), T0 + 200, true).expect("orders").orders;
+        assert!(
+            matches!(&orders[..], [Order::Forget { parcel, .. }, Order::Run { parcel: run, .. }]
+            if parcel == NUDGE && run == "wk-1/0")
+        );
+        assert!(!c.nudge_helps(mid) && c.machines[&mid].blamed == 0);
+        // While the report waits at the door, its response is the quicker way.
+        let (mut c, mid) = hurried();
+        c.on_report(&report(1, 2, TERM, &[]), T0 + 90);
+        assert_eq!(place_one(&mut c), 0);
+        assert_eq!(c.orders(mid, (1, 2), T0 + 200, true).expect("orders").orders.len(), 1);
+        // One that has not shown this term is not started on.
+        let (mut c, mid) = hurried();
+        c.machines.get_mut(&mid).expect("there").fenced = false;
+        assert_eq!(place_one(&mut c), 0);
+    }
+
+    #[test]
+    fn a_late_nudge_is_forgotten_and_proves_nothing() {
+        // Minutes later, also while its task has run and gone: nothing starts, nobody is blamed.
+        let (mut c, mid) = hurried();
+        place_one(&mut c);
+        for (tally, parcels) in [
+            (2, vec![]),
+            (3, vec![("wk-1/0", (TERM << 24) + 1, "running"), (NUDGE, 5, "ended:no_such")]),
+            (4, vec![("wk-1/0", (TERM << 24) + 1, "ended:done"), (NUDGE, 5, "running")]),
+        ] {
+            let r = report(1, tally, TERM, &parcels);
+            let orders = exchange(&mut c, &r, T0 + 1000 * tally);
+            let runs = orders.iter().filter(|o| matches!(o, Order::Run { .. })).count();
+            assert_eq!(runs, usize::from(tally == 2), "{orders:?}");
+        }
+        assert_eq!((c.machines[&mid].blamed, c.finals.has("wk-1")), (0, true));
+    }
+
+    #[test]
+    fn starts_hurry_where_reports_are_rarer_than_they_may_wait() {
+        for (objectives, report_s, hurry) in [
+            (r#"objectives = [{ kind = "wait", class = "steady", within_s = 3.0 }]"#, 8.0, true),
+            (r#"objectives = [{ kind = "guarantee", within_s = 5.0 }]"#, 8.0, true),
+            (r#"objectives = [{ kind = "guarantee", within_s = 20.0 }]"#, 4.0, false),
+            (
+                r#"objectives = [{ kind = "finished", class = "steady", within_s = 3.0 }]"#,
+                8.0,
+                false,
+            ),
+            ("objectives = []", 8.0, false),
+        ] {
+            let mut s = sample_with(&[(OBJECTIVES, objectives)]);
+            s.deployment.workers.report_s = report_s;
+            assert_eq!(s.starts_hurry(), hurry, "{objectives}");
+        }
+    }
+}
--- a/crates/core/src/workers/orders.rs
+++ b/crates/core/src/workers/orders.rs
@@ -75,6 +75,7 @@
             orders.push(order);
         }
         m.answered = now.max(m.heard);
+        m.replied = at;
         Some(Orders { warrant: self.term, orders })
     }
 }
--- a/crates/recovery/src/lane.rs
+++ b/crates/recovery/src/lane.rs
@@ -11,10 +11,15 @@
 pub enum Urgency {
     /// Halts: of what is cancelled, what no record allows, and what makes room for others.
     Halt,
+    /// Asking for a report, since starts wait for it.
+    Nudge,
     /// The new term alone. Workers learn of it with the answer to their own report.
     Term,
 }
 
+/// How many kinds there are.
+pub const KINDS: usize = 3;
+
 /// How much may be sent: so many a second, in bursts of half a second's worth, and so many under way.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Budget {
@@ -46,14 +51,14 @@
 #[derive(Debug)]
 pub struct Lane<T> {
     budget: Budget,
-    waiting: [VecDeque<T>; 2],
+    waiting: [VecDeque<T>; KINDS],
     most: usize,
     tokens: f64,
     at: u64,
     under_way: usize,
     /// Sent, and left out for want of room or since they were needed no more, by urgency.
-    pub sent: [u64; 2],
-    pub left_out: [u64; 2],
+    pub sent: [u64; KINDS],
+    pub left_out: [u64; KINDS],
 }
 
 impl<T> Lane<T> {
@@ -61,13 +66,13 @@
     pub fn new(budget: Budget, most: usize, now: u64) -> Lane<T> {
         Lane {
             budget,
-            waiting: [VecDeque::new(), VecDeque::new()],
+            waiting: Default::default(),
             most,
             tokens: budget.burst(),
             at: now,
             under_way: 0,
-            sent: [0; 2],
-            left_out: [0; 2],
+            sent: [0; KINDS],
+            left_out: [0; KINDS],
         }
     }
 
@@ -106,7 +111,7 @@
         self.tokens = (self.tokens + passed * self.budget.per_s).min(burst);
         self.at = self.at.max(now);
         let mut out = vec![];
-        for urgency in [Urgency::Halt, Urgency::Term] {
+        for urgency in [Urgency::Halt, Urgency::Nudge, Urgency::Term] {
             let i = urgency as usize;
             while self.tokens >= 1.0 && self.under_way < self.budget.under_way {
                 let Some(item) = self.waiting[i].pop_front() else { break };
--- a/crates/recovery/tests/lane.rs
+++ b/crates/recovery/tests/lane.rs
@@ -29,7 +29,7 @@
     (100..104).for_each(|n| lane.push(Urgency::Halt, n));
     let out = lane.take(0, |u, n| u == Urgency::Halt || n % 2 == 1);
     assert_eq!(out, [100, 101, 102, 103, 1, 3, 5, 7, 9, 11], "half a second's worth");
-    assert_eq!((lane.sent, lane.left_out), ([4, 6], [0, 6]));
+    assert_eq!((lane.sent, lane.left_out), ([4, 0, 6], [0, 0, 6]));
 }
 
 #[test]
