--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -122,6 +122,7 @@
         for m in c.machines.values() {
             let state = match () {
                 () if m.faulty => "quarantined",
+                () if m.hearing.is_deaf() => "deaf",
                 () if m.leaving => "leaving",
                 () if m.recall_at.is_some() => "taken back",
                 () if m.usable(now, silence) => "usable",
--- a/crates/controller/src/node/lookups.rs
+++ b/crates/controller/src/node/lookups.rs
@@ -11,11 +11,9 @@
 const WALK: usize = 6;
 
 impl Node {
-    /// May users' questions cost the state service `n` more requests now?
-    pub(super) fn may_look_up(&self, n: usize) -> bool {
-        let mut pace = self.lookups.lock().expect("lock");
-        pace.refill(self.now());
-        pace.left() >= n && (0..n).all(|_| pace.take())
+    /// May a question about this job cost the state service `n` requests now? Who asked in vain goes first.
+    pub(super) fn may_look_up(&self, uid: &str, n: usize) -> bool {
+        self.lookups.lock().expect("lock").may(uid, n, self.now())
     }
 
     /// Looks an id up that is not in memory: final jobs leave it. Err: no answer.
@@ -23,9 +21,18 @@
         if self.lacks_state() {
             return Err(Reply::later("the state service is out of reach", 1));
         }
-        if !self.may_look_up(1) {
+        if !self.may_look_up(uid, 1) {
             return Err(self.too_many(2));
         }
+        self.read_past(term, uid).await
+    }
+
+    /// The same, once it may cost a look-up.
+    pub(super) async fn read_past(
+        &self,
+        term: u64,
+        uid: &str,
+    ) -> Result<Option<FinalRecord>, Reply> {
         match self.store.get::<FinalRecord>(&format!("f/{uid}")).await {
             Ok(Some((record, _))) => {
                 self.with_cell(term, |c, _| c.finals.remember(uid.into(), record.clone()));
@@ -47,7 +54,7 @@
             Some(_) => return Ok(Named::Cancelled),
             None => {}
         }
-        if !self.may_look_up(1) {
+        if !self.may_look_up(uid, 1) {
             return Err(self.too_many(2));
         }
         // Accepted under other settings it would be on record without being in memory.
@@ -67,7 +74,7 @@
             if !asked.insert(uid.clone()) {
                 continue;
             }
-            if asked.len() > WALK || !self.may_look_up(2) {
+            if asked.len() > WALK || !self.lookups.lock().expect("lock").more(2, self.now()) {
                 return None;
             }
             // The open record first, as above.
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -19,6 +19,7 @@
 use crate::net::Net;
 use crate::node::doors::Doors;
 use crate::store::Store;
+use copperhaven_core::lookups::Lookups;
 use copperhaven_core::pace::Pace;
 use copperhaven_core::settings::Settings;
 use copperhaven_core::state::cell::Cell;
@@ -65,7 +66,7 @@
     users: Semaphore,
     questions: Semaphore,
     /// Look-ups at the state service on behalf of users.
-    lookups: Mutex<Pace>,
+    lookups: Mutex<Lookups>,
     /// Requests refused for being too many, by what was bounded; for the metrics.
     pub refused: [AtomicU64; 3],
     doors: Mutex<Doors>,
@@ -93,7 +94,7 @@
     /// A controller whose connections are made in this network.
     pub fn within(net: Net, settings: Settings) -> Node {
         let share = settings.deployment.state.rps() * LOOKUPS;
-        let lookups = Pace::new(share / (settings.members.len() + 1) as f64, 0);
+        let pace = Pace::new(share / (settings.members.len() + 1) as f64, 0);
         Node {
             cluster: Cluster::new(&settings),
             store: Store::new(net.clone(), settings.endpoints.state.clone()),
@@ -108,7 +109,7 @@
             dirty: Notify::new(),
             users: Semaphore::new(USERS),
             questions: Semaphore::new(QUESTIONS),
-            lookups: Mutex::new(lookups),
+            lookups: Mutex::new(Lookups::new(pace)),
             refused: Default::default(),
             doors: Mutex::default(),
             reached: Mutex::default(),
--- a/crates/controller/src/node/questions.rs
+++ b/crates/controller/src/node/questions.rs
@@ -2,6 +2,7 @@
 
 use crate::node::Node;
 use crate::reply::Reply;
+use crate::store::StoreError;
 use copperhaven_core::questions::shown_final;
 use copperhaven_core::records::{FinalRecord, JobRecord};
 use copperhaven_wire::jobs::{self, Shown};
@@ -33,13 +34,23 @@
                 None => Reply::later("being recorded", 1),
             };
         }
-        match self.past(term, uid).await {
-            Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
+        if self.lacks_state() {
+            return Reply::later("the state service is out of reach", 1);
+        }
+        if !self.may_look_up(uid, 3) {
+            return self.too_many(2);
+        }
+        let past = self.read_past(term, uid).await;
+        match past {
             // Whatever was accepted and is not over should be in the memory of a leader in
             // authority; what could not be read in (other settings now) is still on record.
             Ok(None) if self.leading(false) && self.known(term, uid).is_none() => {
-                self.show_from_store(body).await
+                return self.read_both(uid).await;
             }
+            _ => self.lookups.lock().expect("lock").put_back(2),
+        }
+        match past {
+            Ok(Some(f)) => Reply::new(200, &shown_final(uid, &f)),
             Ok(None) => Reply::later("no certain answer", 1),
             Err(later) => later,
         }
@@ -55,9 +66,14 @@
         if self.lacks_state() {
             return Reply { close: true, ..Reply::later("the state service is out of reach", 1) };
         }
-        if !self.may_look_up(2) {
+        if !self.may_look_up(uid, 2) {
             return self.too_many(2);
         }
+        self.read_both(uid).await
+    }
+
+    /// What the open and the final record of a job say.
+    async fn read_both(&self, uid: &str) -> Reply {
         let aside = self.aside(uid);
         let later = match &aside {
             Some(why) => Reply::later(why, 30),
@@ -66,10 +82,11 @@
         // The open record is read first: a job moves from there to the final ones, never back.
         let open = match self.store.get::<JobRecord>(&format!("j/{uid}")).await {
             Ok(open) => open,
-            Err(e) => {
+            Err(e @ StoreError::Unreadable { .. }) => {
                 self.note_unreadable(&e);
-                return later;
+                return self.show_unreadable(uid).await.unwrap_or(later);
             }
+            Err(_) => return later,
         };
         match (self.store.get::<FinalRecord>(&format!("f/{uid}")).await, open) {
             (Ok(Some((f, _))), _) => Reply::new(200, &shown_final(uid, &f)),
@@ -89,4 +106,29 @@
             (Err(_), _) => later,
         }
     }
+
+    /// A job is known, though its open record can't be read: its user must not go unanswered until somebody mends it.
+    /// Told is what is certain; that it is cancelled only where the record still says so. None: it may have been
+    /// told cancelled with another that it waited for, or there is no answer now.
+    async fn show_unreadable(&self, uid: &str) -> Option<Reply> {
+        /// What is left of a record, whatever else of it can't be used.
+        #[derive(serde::Deserialize)]
+        struct Left {
+            #[serde(default)]
+            cancelled: Option<bool>,
+            #[serde(default)]
+            waits: Option<serde::de::IgnoredAny>,
+        }
+        if let Some((f, _)) = self.store.get::<FinalRecord>(&format!("f/{uid}")).await.ok()? {
+            return Some(Reply::new(200, &shown_final(uid, &f)));
+        }
+        let status = match self.store.get::<Left>(&format!("j/{uid}")).await {
+            Ok(Some((left, _))) if left.cancelled == Some(true) => "aborted",
+            Ok(Some((left, _))) if left.waits.is_some() => return None,
+            Ok(Some(_)) | Err(StoreError::Unreadable { .. }) => "queued",
+            Ok(None) | Err(_) => return None,
+        };
+        let why = "its record can't be read: it is known, and starts once that is mended";
+        Some(Reply::new(200, &Shown { why: Some(why.into()), ..Shown::new(uid, status) }))
+    }
 }
--- a/crates/controller/src/node/tests.rs
+++ b/crates/controller/src/node/tests.rs
@@ -94,11 +94,11 @@
     // look-ups, the state service refused all others too, and the next leader came 5 s later.
     let node = Node::new(copperhaven_core::for_tests::sample());
     // 250 requests a second, 0.3 of them for look-ups, two controllers; a burst of a second.
-    let burst = (0..100).filter(|_| node.may_look_up(2)).count();
+    let burst = (0..100).filter(|i| node.may_look_up(&format!("wk-{i}"), 2)).count();
     assert_eq!(burst, 18);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.expect("runtime").block_on(async {
-        while node.may_look_up(1) {}
+        while node.lookups.lock().expect("lock").more(1, node.now()) {}
         let show = node.ask(Op::Show, b"wk-1").await;
         assert!(show.status == 503 && (2..=4).contains(&show.retry_after));
         assert_eq!(node.refused[2].load(Ordering::Relaxed), 1);
--- a/crates/core/src/fleet/returns.rs
+++ b/crates/core/src/fleet/returns.rs
@@ -6,7 +6,7 @@
 const MIN_CHARGE_MS: u64 = 60_000;
 
 impl Cell {
-    /// What to give back: machines that never came up, that are faulty, about to be taken, past
+    /// What to give back: machines that never came up, that are faulty, that don't hear, about to be taken, past
     /// their lease, or idle for longer than it would take to get them again.
     pub fn plan_returns(&mut self, now: u64) {
         for (name, b) in &self.fleet.booting {
@@ -38,6 +38,7 @@
                 }
             }
         }
+        back.extend(self.deaf_returns(now).into_iter().map(|mid| (mid, "it does not hear")));
         for (mid, why) in back {
             if let Some(m) = self.machines.get_mut(&mid) {
                 m.leaving = true;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod boots;
 pub mod caution;
 pub mod fleet;
+pub mod lookups;
 pub mod pace;
 pub mod pipelines;
 pub mod placement;
--- a/crates/core/src/pace.rs
+++ b/crates/core/src/pace.rs
@@ -21,10 +21,25 @@
         self.tokens = (self.tokens + passed * self.rps * 0.8).min(self.rps.max(1.0));
     }
 
+    /// What is added in a second.
+    pub fn per_s(&self) -> f64 {
+        self.rps * 0.8
+    }
+
+    /// What may be left at most.
+    pub fn most(&self) -> usize {
+        self.rps.max(1.0) as usize
+    }
+
     pub fn left(&self) -> usize {
         self.tokens.max(0.0) as usize
     }
 
+    /// What was taken and not needed.
+    pub fn put_back(&mut self, n: usize) {
+        self.tokens = (self.tokens + n as f64).min(self.rps.max(1.0));
+    }
+
     pub fn take(&mut self) -> bool {
         let some = self.tokens >= 1.0;
         if some {
--- a/crates/core/src/questions.rs
+++ b/crates/core/src/questions.rs
@@ -19,11 +19,13 @@
             if !self.accepted(id, job) {
                 return None;
             }
-            // What it waits for may have been cancelled, which others may have told its user.
-            if job.open() && !job.awaits.is_empty() && (job.doubt || !self.links.settled()) {
+            let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
+            // What it waits for may have been cancelled, which others may have told its user: also while its own
+            // cancellation is being recorded (found by a random schedule: it went back to queued).
+            let unsure = job.cancelled() || job.doubt || !self.links.settled();
+            if !saved(job.cancel_ver) && !job.awaits.is_empty() && unsure {
                 return None;
             }
-            let saved = |v: Option<u64>| v.is_some_and(|v| self.is_saved(&Key::Job(id), v));
             let status = if saved(job.cancel_ver) {
                 "aborted"
             } else if job.all_done() && saved(job.final_ver) {
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -342,6 +342,7 @@
             last: (0, 0),
             replied: (0, 0),
             nudged: (0, 0),
+            hearing: Default::default(),
             fenced: false,
             answered: 0,
             heard: 0,
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -4,6 +4,7 @@
 use crate::state::job::Spec;
 use crate::state::names::*;
 use crate::state::table::Row;
+use crate::workers::deaf::Hearing;
 use copperhaven_wire::workers::Order;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -91,6 +92,8 @@
     /// The newest report that was answered with orders, and the one after which a nudge was sent.
     pub(crate) replied: (u64, u64),
     pub(crate) nudged: (u64, u64),
+    /// Does its worker carry out the answers to its reports?
+    pub hearing: Hearing,
     /// The worker has shown this term, so no older leader can reach it any more.
     pub fenced: bool,
     /// Receipt of the last report that was answered; 0: none in this term.
@@ -147,6 +150,7 @@
     pub fn usable(&self, now: u64, silence: u64) -> bool {
         self.fenced
             && !self.faulty
+            && !self.hearing.is_deaf()
             && !self.leaving
             && self.recall_at.is_none()
             && now < self.heard + silence
--- /dev/null
+++ b/crates/core/src/workers/deaf.rs
@@ -0,0 +1,230 @@
+//! Machines that are heard and don't hear: their reports arrive, answers and commands don't reach them. A report alone is
+//! no proof that the worker got the answer to the one before; what the answer asked for is. Each answer with an order
+//! leaves a sign to look for in the next report. Three in a row without it: nothing more is placed there, and each
+//! answer asks for a sign of its own, until one is seen.
+//!
+//! Nothing that the rules need rests on it: what may be on such a machine counts until a report or its lease proves that
+//! it is gone, as ever.
+
+use crate::state::cell::Cell;
+use crate::state::machine::Machine;
+use crate::state::names::MachineId;
+use crate::workers::nudges::nudge;
+use copperhaven_wire::workers::{Order, Report};
+
+/// So many answers in a row of which no sign was seen.
+const MOST: u32 = 3;
+
+/// One of fifty machines at a time is given back for it, and one at least.
+const PART: usize = 50;
+
+/// What the next report shows if the answer to the one before was carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Sign {
+    Lists(String, u64),
+    Lacks(String, u64),
+    /// It has seen this term.
+    Term,
+}
+
+/// How a worker takes its answers.
+#[derive(Debug, Default)]
+pub struct Hearing {
+    /// The session of the report that was answered last, and what to look for.
+    asked: Option<(u64, Sign)>,
+    missed: u32,
+    /// Since when it is taken not to hear.
+    deaf: Option<u64>,
+}
+
+impl Hearing {
+    pub fn is_deaf(&self) -> bool {
+        self.deaf.is_some()
+    }
+
+    /// Its report was answered with these orders, of which it shows signs if it hears.
+    pub(crate) fn answered(&mut self, session: u64, orders: &[Order], of_term: bool) {
+        let run = orders.iter().find_map(|o| match o {
+            Order::Run { parcel, attempt } => Some(Sign::Lists(parcel.clone(), *attempt)),
+            _ => None,
+        });
+        let forget = || {
+            orders.iter().find_map(|o| match o {
+                Order::Forget { parcel, attempt } => Some(Sign::Lacks(parcel.clone(), *attempt)),
+                _ => None,
+            })
+        };
+        let sign = run.or_else(forget).or_else(|| (!of_term).then_some(Sign::Term));
+        self.asked = sign.map(|sign| (session, sign));
+    }
+
+    /// A newer report: does it show that the answer to the one before was carried out? Some: it is taken for deaf from
+    /// now on, or no more.
+    fn heard(&mut self, r: &Report, term: u64, now: u64) -> Option<bool> {
+        let (session, sign) = self.asked.take()?;
+        let lists = |parcel: &str, attempt: u64| {
+            r.parcels.iter().any(|p| p.parcel == parcel && p.attempt == attempt)
+        };
+        let seen = match &sign {
+            // Its lease has run out although it was answered: or it hung for as long.
+            _ if session != r.shift => false,
+            Sign::Lists(parcel, attempt) => lists(parcel, *attempt),
+            Sign::Lacks(parcel, attempt) => !lists(parcel, *attempt),
+            Sign::Term => r.warrant >= term,
+        };
+        self.missed = if seen { 0 } else { self.missed.saturating_add(1) };
+        match (seen, self.deaf) {
+            (true, Some(_)) => {
+                self.deaf = None;
+                Some(false)
+            }
+            (false, None) if self.missed >= MOST => {
+                self.deaf = Some(now);
+                Some(true)
+            }
+            _ => None,
+        }
+    }
+}
+
+impl Cell {
+    /// Takes note of whether a worker hears, by a report that is newer than the one answered last.
+    pub(crate) fn listen(&mut self, mid: MachineId, r: &Report, now: u64) {
+        let term = self.term;
+        let Some(m) = self.machines.get_mut(&mid) else { return };
+        let name = &m.name;
+        match m.hearing.heard(r, term, now) {
+            Some(true) => tracing::warn!(
+                "{name} does not hear: it reports, and carries out no answer; nothing more is placed there until it does"
+            ),
+            Some(false) => tracing::info!("{name} hears again"),
+            None => return,
+        }
+        self.stir = true;
+    }
+
+    /// What a deaf worker is asked for, that changes nothing but its next report.
+    pub(crate) fn ask_for_sign(&mut self, mid: MachineId) -> Option<Order> {
+        let deaf = self.machines.get(&mid)?.hearing.is_deaf();
+        deaf.then(|| nudge(self.new_attempt()))
+    }
+
+    /// Machines that have been deaf for two leases and hold nothing: given back, a few at a time. Their places are
+    /// rented anew as work asks for them.
+    pub(crate) fn deaf_returns(&self, now: u64) -> Vec<MachineId> {
+        let most = (self.machines.len() / PART).max(1);
+        let long = |m: &Machine| {
+            m.hearing.deaf.is_some_and(|since| now > since + 2 * self.settings.lease_ms())
+        };
+        let leaving = self.machines.values().filter(|m| m.leaving && m.hearing.is_deaf()).count();
+        self.machines
+            .iter()
+            .filter(|(_, m)| !m.leaving && m.entries.is_empty() && long(m))
+            .map(|(mid, _)| *mid)
+            .take(most.saturating_sub(leaving))
+            .collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::for_tests::*;
+
+    /// What a worker reports that carries out the answers or doesn't, and is one of `count` machines. Returns the cell
+    /// after so many reports, each answered, and in how many answers tasks were sent.
+    fn reports(hears: impl Fn(u64) -> bool, count: u64) -> (Cell, usize) {
+        let mut c = cell();
+        add_job(&mut c, "wk-1", |b| (b.parcels, b.cpus, b.due_s) = (1, 1.0, None));
+        commit(&mut c);
+        let (mut listed, mut sent): (Vec<(String, u64)>, usize) = (vec![], 0);
+        for n in 1..=count {
+            let parcels: Vec<(&str, u64, &str)> =
+                listed.iter().map(|(p, a)| (p.as_str(), *a, "running")).collect();
+            let orders = exchange(&mut c, &report(1, n, TERM, &parcels), T0 + n * 5_000);
+            let runs = |o: &Order| match o {
+                Order::Run { parcel, attempt } => Some((parcel.clone(), *attempt)),
+                _ => None,
+            };
+            sent += orders
+                .iter()
+                .filter(|o| matches!(o, Order::Run { parcel, .. } if parcel.starts_with("wk-")))
+                .count();
+            if hears(n) {
+                listed.extend(orders.iter().filter_map(runs));
+            }
+        }
+        (c, sent)
+    }
+
+    #[test]
+    fn who_shows_no_sign_of_three_answers_gets_no_more_tasks_until_it_does() {
+        type Row = (&'static str, fn(u64) -> bool, u64, bool, usize);
+        // (what, which answers arrive, reports, is it deaf in the end, answers with the task)
+        let rows: [Row; 5] = [
+            ("hears", |_| true, 8, false, 1),
+            ("two are lost", |n| n > 2, 8, false, 3),
+            ("none arrives", |_| false, 12, true, 3),
+            // From the ninth on: the sign that the eighth asked for is not seen, that of the ninth is.
+            ("hears again", |n| n > 8, 12, false, 4),
+            ("every third arrives", |n| n % 3 == 0, 12, false, 3),
+        ];
+        for (what, hears, count, deaf, sent) in rows {
+            let (c, n) = reports(hears, count);
+            let mid = c.machines.id("n-1").expect("there");
+            assert_eq!((c.machines[&mid].hearing.is_deaf(), n), (deaf, sent), "{what}");
+            c.check();
+        }
+    }
+
+    #[test]
+    fn the_signs_of_each_order() {
+        let lists = |p: &[(&str, u64, &str)]| report(3, 9, TERM, p);
+        let run = |a| Order::Run { parcel: "wk-1/0".into(), attempt: a };
+        let forget = Order::Forget { parcel: "wk-1/0".into(), attempt: 4 };
+        let halt = Order::Halt { parcel: "wk-1/0".into(), attempt: 4, wind_down: 0.0 };
+        // (orders, answered when of this term, next report, session of the answered one, missed)
+        let rows = [
+            (vec![run(4)], true, lists(&[("wk-1/0", 4, "ended:full")]), 3, 0),
+            (vec![run(4)], true, lists(&[("wk-1/0", 3, "running")]), 3, 1),
+            (vec![forget.clone()], true, lists(&[]), 3, 0),
+            (vec![forget.clone()], true, lists(&[("wk-1/0", 4, "ended:done")]), 3, 1),
+            (vec![forget, run(5)], true, lists(&[("wk-1/0", 5, "running")]), 3, 0),
+            // What may take its time, or was done before, is no sign; nor is nothing.
+            (vec![halt], true, lists(&[("wk-1/0", 4, "running")]), 3, 0),
+            (vec![], true, lists(&[]), 3, 0),
+            (vec![], false, lists(&[]), 3, 0),
+            (vec![], false, report(3, 9, TERM - 1, &[]), 3, 1),
+            (vec![run(4)], true, lists(&[]), 2, 1),
+        ];
+        for (i, (orders, of_term, next, session, missed)) in rows.into_iter().enumerate() {
+            let mut h = Hearing::default();
+            h.answered(session, &orders, of_term);
+            h.heard(&next, TERM, T0);
+            assert_eq!(h.missed, missed, "row {i}");
+            assert!(h.asked.is_none(), "each sign is looked for once");
+        }
+    }
+
+    #[test]
+    fn half_a_fleet_that_is_deaf_is_given_back_a_few_at_a_time() {
+        let mut c = cell();
+        for n in 0..200 {
+            let r = |tally| Report { hearth: format!("n-{n}"), ..report(1, tally, TERM, &[]) };
+            exchange(&mut c, &r(1), T0);
+            if n % 2 == 0 {
+                let mid = c.machines.id(format!("n-{n}").as_str()).expect("there");
+                c.machines.get_mut(&mid).expect("there").hearing.deaf = Some(T0);
+            }
+        }
+        let lease = c.settings.lease_ms();
+        assert!(c.deaf_returns(T0 + lease).is_empty(), "it may hear again");
+        assert_eq!(c.deaf_returns(T0 + 2 * lease + 1).len(), 4);
+        c.machines
+            .values_mut()
+            .filter(|m| m.hearing.is_deaf())
+            .take(3)
+            .for_each(|m| m.leaving = true);
+        assert_eq!(c.deaf_returns(T0 + 2 * lease + 1).len(), 1);
+    }
+}
--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -6,6 +6,7 @@
 //! dropped whatever the earlier response said. Bodies of `/commands` prove nothing: they may be
 //! written between a report and its response.
 
+pub mod deaf;
 pub mod ends;
 pub mod faults;
 pub mod leases;
--- a/crates/core/src/workers/nudges.rs
+++ b/crates/core/src/workers/nudges.rs
@@ -12,7 +12,13 @@
 use copperhaven_wire::workers::Order;
 
 /// No job can have this id.
-const NUDGE: &str = "nudge/0";
+const NUDGE: &str = "nudge";
+
+/// An order that its worker refuses, and shows in its next report.
+pub(super) fn nudge(attempt: u64) -> Order {
+    // Each a task of its own: the one before may not be forgotten yet.
+    Order::Run { parcel: format!("{NUDGE}/{}", attempt & 0xff_ffff), attempt }
+}
 
 impl Settings {
     /// May starts wait no longer than workers take to report? Then they are asked to.
@@ -38,7 +44,7 @@
             let attempt = self.new_attempt();
             let Some(m) = self.machines.get_mut(mid) else { continue };
             m.nudged = m.last;
-            let orders = vec![Order::Run { parcel: NUDGE.into(), attempt }];
+            let orders = vec![nudge(attempt)];
             let (addr, shift) = (m.addr.clone(), m.last.0);
             self.direct.push(Direct { machine: Some(*mid), addr, shift, orders });
         }
@@ -55,6 +61,7 @@
             e.mark.is_none() && e.seen == Seen::Not && !e.inherited && e.stop.is_none()
         };
         m.fenced
+            && !m.hearing.is_deaf()
             && m.replied == m.last
             && m.entries.values().any(|e| unsent(e) && self.is_saved(&key, e.ver))
     }
@@ -94,20 +101,21 @@
         let (mut c, mid) = hurried();
         assert_eq!(place_one(&mut c), 1);
         let d = c.direct.pop().expect("one");
-        let nudge = |o: &Order| matches!(o, Order::Run { parcel, .. } if parcel == NUDGE);
-        assert!(d.orders.len() == 1 && d.orders.iter().all(nudge), "no start: {:?}", d.orders);
+        let is_nudge =
+            |o: &Order| matches!(o, Order::Run { parcel, .. } if parcel.starts_with(NUDGE));
+        assert!(d.orders.len() == 1 && d.orders.iter().all(is_nudge), "no start: {:?}", d.orders);
         assert!(c.nudge_helps(mid));
         // Recorded again, it is not asked again; its report carries the start, and the nudge is of no use any more.
         c.touch(Key::Machine(mid));
         commit(&mut c);
         assert!(c.direct.is_empty());
-        let r = report(1, 2, TERM, &[(NUDGE, 9, "ended:no_such")]);
+        let r = report(1, 2, TERM, &[("nudge/9", 9, "ended:no_such")]);
         assert_eq!(c.on_report(&r, T0 + 200), Taken::Answer(mid));
         assert!(!c.nudge_helps(mid), "a report waits for its answer");
         let orders = c.orders(mid, (1, 2), T0 + 200, true).expect("orders").orders;
         assert!(
             matches!(&orders[..], [Order::Forget { parcel, .. }, Order::Run { parcel: run, .. }]
-            if parcel == NUDGE && run == "wk-1/0")
+            if parcel == "nudge/9" && run == "wk-1/0")
         );
         assert!(!c.nudge_helps(mid) && c.machines[&mid].blamed == 0);
         // While the report waits at the door, its response is the quicker way.
@@ -128,8 +136,8 @@
         place_one(&mut c);
         for (tally, parcels) in [
             (2, vec![]),
-            (3, vec![("wk-1/0", (TERM << 24) + 1, "running"), (NUDGE, 5, "ended:no_such")]),
-            (4, vec![("wk-1/0", (TERM << 24) + 1, "ended:done"), (NUDGE, 5, "running")]),
+            (3, vec![("wk-1/0", (TERM << 24) + 1, "running"), ("nudge/5", 5, "ended:no_such")]),
+            (4, vec![("wk-1/0", (TERM << 24) + 1, "ended:done"), ("nudge/5", 5, "running")]),
         ] {
             let r = report(1, tally, TERM, &parcels);
             let orders = exchange(&mut c, &r, T0 + 1000 * tally);
--- a/crates/core/src/workers/orders.rs
+++ b/crates/core/src/workers/orders.rs
@@ -32,6 +32,7 @@
         lead: bool,
     ) -> Option<Orders> {
         const MOST: usize = 300;
+        let sign = if self.machines.get(&mid)?.last == at { self.ask_for_sign(mid) } else { None };
         let key = Key::Machine(mid);
         let m = self.machines.get(&mid)?;
         if m.last != at {
@@ -51,6 +52,7 @@
             orders.push(Order::Halt { parcel, attempt: *attempt, wind_down: 0.0 });
         }
         orders.truncate(MOST);
+        orders.extend(sign);
         let mut runs = Vec::new();
         for ((id, task), e) in &m.entries {
             if orders.len() + runs.len() >= MOST {
@@ -76,6 +78,7 @@
         }
         m.answered = now.max(m.heard);
         m.replied = at;
+        m.hearing.answered(at.0, &orders, m.fenced);
         Some(Orders { warrant: self.term, orders })
     }
 }
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -63,6 +63,8 @@
         if (r.shift, r.tally) <= m.last {
             return Taken::Stale;
         }
+        self.listen(mid, r, now);
+        let Some(m) = self.machines.get_mut(&mid) else { return Taken::Stale };
         if m.heard == 0 {
             m.idle_since = now;
             self.stir = true;
@@ -139,13 +141,15 @@
         }
         if of_term {
             let at = (r.shift, r.tally);
+            // What its answers did not bring there waits no longer for the next one.
+            let deaf = self.machines[&mid].hearing.is_deaf();
             let absent: Vec<(JobId, u32)> = self.machines[&mid]
                 .entries
                 .iter()
                 .filter(|(k, e)| {
                     let spoken = e.inherited || e.seen != Seen::Not;
                     let other_session = e.mark.is_some_and(|m| m.0 != r.shift);
-                    !listed.contains(k) && (spoken || other_session || e.stop.is_some())
+                    !listed.contains(k) && (spoken || other_session || deaf || e.stop.is_some())
                 })
                 .filter(|(_, e)| e.mark.is_none_or(|m| m < at))
                 .map(|(k, _)| *k)
--- a/crates/core/tests/failures/leaders.rs
+++ b/crates/core/tests/failures/leaders.rs
@@ -26,6 +26,8 @@
         if now + NEW >= self.falls {
             settings.deployment.state.next = Some(NextLimits::default());
         }
+        // Half of the leaders ask workers for reports when starts wait.
+        let hurry = term % 2 == 0;
         let mut cell = Cell::new(Arc::new(settings), term, leader, now, names, flavors);
         let mut read = Records::default();
         for (path, (record, stamp)) in &self.store {
@@ -49,6 +51,7 @@
         if now + NEW >= self.falls {
             cell.ledger.value_limit = LOW;
         }
+        cell.hurry = hurry;
         read.packed = self.packs.contains(&term);
         rebuild(&mut cell, read, now, now);
         let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
@@ -101,6 +104,7 @@
             let lead = self.lead(&self.leaders[k]);
             let l = &mut self.leaders[k];
             l.cell.expire(now);
+            self.deaf += l.cell.machines.values().filter(|m| m.hearing.is_deaf()).count();
             l.cell.move_lists(1);
             l.cell.stir = true;
             if lead {
@@ -250,7 +254,17 @@
                     _ => {}
                 }
             }
+            Msg::Copy(i, report) => {
+                let Some(l) = self.leaders.last_mut() else { return };
+                if let Taken::Answer(_) = l.cell.on_report(&report, now) {
+                    self.copies += 1;
+                    l.waiting.push((i, (report.shift, report.tally), report.tally));
+                }
+            }
             Msg::Response(i, warrant, shift, tally, orders) => {
+                if now < self.workers[i].deaf_until {
+                    return;
+                }
                 let w = &mut self.workers[i];
                 let Some((flight, sent)) = w.flight else { return };
                 let stale = flight != tally || w.shift != shift || now > sent + 4000;
@@ -272,6 +286,13 @@
                     self.mail.push((at, Msg::Command(i, warrant, shift, orders)));
                     return;
                 }
+                if now < self.workers[i].deaf_until {
+                    if self.chance(0.5) {
+                        let at = self.workers[i].deaf_until;
+                        self.mail.push((at, Msg::Command(i, warrant, shift, orders)));
+                    }
+                    return;
+                }
                 let w = &mut self.workers[i];
                 w.tally += 1;
                 if warrant >= w.token && shift == w.shift {
--- a/crates/core/tests/failures/main.rs
+++ b/crates/core/tests/failures/main.rs
@@ -21,6 +21,7 @@
     let mut starts = 0;
     let mut done = 0;
     let mut cancelled = 0;
+    let (mut copies, mut deaf) = (0, 0);
     let (mut derived, mut waited, mut refused, mut found) = (0, 0, 0, 0);
     for seed in 0..60 {
         let mut world = World::new(seed);
@@ -37,11 +38,17 @@
         waited += world.waited;
         refused += world.refused;
         found += world.found;
+        copies += world.copies;
+        deaf += world.deaf;
     }
     // The schedules must leave something to break.
     assert!(starts > 2000 && done > 200 && cancelled > 60, "{starts} {done} {cancelled}");
     assert!(derived > 40 && waited > 100, "{derived} cancelled with others, {waited} starts");
     assert!(found > 40, "{found} unreadable records met");
+    assert!(
+        copies > 100 && deaf > 100,
+        "{copies} late copies taken, {deaf} beats with a deaf machine"
+    );
     println!(
         "{starts} starts, {done} done, {cancelled} cancelled, {derived} with others, {waited} waited, {refused} refused, {found} unreadable"
     );
--- a/crates/core/tests/failures/troubles.rs
+++ b/crates/core/tests/failures/troubles.rs
@@ -70,6 +70,10 @@
             }
         }
         self.spoiled.retain(|_, until| now < *until);
+        if self.chance(0.004) {
+            let i = self.rng.random_range(0..self.workers.len());
+            self.workers[i].deaf_until = now + self.rng.random_range(1_000..60_000);
+        }
         if self.chance(0.004) {
             let i = self.rng.random_range(0..self.workers.len());
             self.workers[i].hangs_until = now + self.rng.random_range(1_000..25_000);
--- a/crates/core/tests/failures/workers.rs
+++ b/crates/core/tests/failures/workers.rs
@@ -38,6 +38,11 @@
     pub fn execute(&mut self, i: usize, orders: Vec<Order>) {
         for order in orders {
             match order {
+                // A task of no job is refused, and shows.
+                Order::Run { parcel, attempt } if parcel.starts_with("nudge/") => {
+                    let t = Task { attempt, ends: self.now, cause: Some("no_such") };
+                    self.workers[i].tasks.entry(parcel).or_insert(t);
+                }
                 Order::Run { parcel, attempt } => {
                     let known = self.workers[i].tasks.get(&parcel);
                     if known.is_some_and(|t| t.attempt == attempt) {
@@ -158,6 +163,11 @@
             if self.chance(0.05) {
                 self.post(Msg::Report(i, live[pick], report.clone()));
             }
+            // Seconds to three leases late, to a leader that may be another by then.
+            if self.chance(0.1) {
+                let at = now + self.rng.random_range(1_000..3 * lease);
+                self.mail.push((at, Msg::Copy(i, report.clone())));
+            }
             if !self.chance(0.03) {
                 self.post(Msg::Report(i, live[pick], report));
             }
--- a/crates/core/tests/failures/world.rs
+++ b/crates/core/tests/failures/world.rs
@@ -38,6 +38,8 @@
     /// Number and send time of the report in flight, and the leader it went to.
     pub flight: Option<(u64, u64)>,
     pub hangs_until: u64,
+    /// Until then its reports arrive, and neither answers nor commands reach it.
+    pub deaf_until: u64,
     pub tasks: BTreeMap<String, Task>,
 }
 
@@ -50,6 +52,8 @@
 
 pub enum Msg {
     Report(usize, u64, Report),
+    /// Another copy of a report, for whoever leads when it arrives.
+    Copy(usize, Report),
     Response(usize, u64, u64, u64, Vec<Order>),
     Command(usize, u64, u64, Vec<Order>),
     Commit(u64, Batch, bool),
@@ -105,6 +109,9 @@
     pub waited: usize,
     pub finished: BTreeMap<String, BTreeSet<u32>>,
     pub starts: usize,
+    /// Late copies that a leader took for news, having heard nothing newer; and machines found not to hear.
+    pub copies: usize,
+    pub deaf: usize,
 }
 
 pub fn flavors(names: &mut Names) -> Vec<Flavor> {
@@ -142,6 +149,7 @@
             next_report: 1000 + 70 * i as u64,
             flight: None,
             hangs_until: 0,
+            deaf_until: 0,
             tasks: BTreeMap::new(),
         };
         World {
@@ -171,6 +179,8 @@
             waited: 0,
             finished: BTreeMap::new(),
             starts: 0,
+            copies: 0,
+            deaf: 0,
         }
     }
 
