--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -247,6 +247,16 @@
     serde_norway::from_str(text)
 }
 
+impl Settings {
+    /// May starts wait no longer than workers take to report? Then they are asked to (`workers::nudges`).
+    pub fn starts_hurry(&self) -> bool {
+        let d = &self.deployment;
+        let starts =
+            d.objectives.iter().filter(|o| matches!(o.kind.as_str(), "wait" | "guarantee"));
+        starts.filter_map(|o| o.within_s).any(|s| s < d.workers.report_s)
+    }
+}
+
 impl Settings {
     pub(crate) fn check(&self) -> Result<(), SettingsError> {
         let positive = |name: &'static str, v: f64| {
--- a/crates/core/src/state/machine.rs
+++ b/crates/core/src/state/machine.rs
@@ -1,10 +1,10 @@
 //! Machines: what each may hold, and what its worker last said.
 
 use crate::records::OnRecord;
+use crate::state::hearing::Hearing;
 use crate::state::job::Spec;
 use crate::state::names::*;
 use crate::state::table::Row;
-use crate::workers::deaf::Hearing;
 use copperhaven_wire::workers::Order;
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub mod cell;
 pub mod finals;
 pub mod fleet;
+pub mod hearing;
 pub mod job;
 pub mod ledger;
 pub mod links;
--- a/crates/core/src/workers/deaf.rs
+++ b/crates/core/src/workers/deaf.rs
@@ -12,81 +12,9 @@
 use crate::workers::nudges::nudge;
 use copperhaven_wire::workers::{Order, Report};
 
-/// So many answers in a row of which no sign was seen.
-const MOST: u32 = 3;
-
 /// One of fifty machines at a time is given back for it, and one at least.
 const PART: usize = 50;
 
-/// What the next report shows if the answer to the one before was carried out.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Sign {
-    Lists(String, u64),
-    Lacks(String, u64),
-    /// It has seen this term.
-    Term,
-}
-
-/// How a worker takes its answers.
-#[derive(Debug, Default)]
-pub struct Hearing {
-    /// The session of the report that was answered last, and what to look for.
-    asked: Option<(u64, Sign)>,
-    missed: u32,
-    /// Since when it is taken not to hear.
-    deaf: Option<u64>,
-}
-
-impl Hearing {
-    pub fn is_deaf(&self) -> bool {
-        self.deaf.is_some()
-    }
-
-    /// Its report was answered with these orders, of which it shows signs if it hears.
-    pub(crate) fn answered(&mut self, session: u64, orders: &[Order], of_term: bool) {
-        let run = orders.iter().find_map(|o| match o {
-            Order::Run { parcel, attempt } => Some(Sign::Lists(parcel.clone(), *attempt)),
-            _ => None,
-        });
-        let forget = || {
-            orders.iter().find_map(|o| match o {
-                Order::Forget { parcel, attempt } => Some(Sign::Lacks(parcel.clone(), *attempt)),
-                _ => None,
-            })
-        };
-        let sign = run.or_else(forget).or_else(|| (!of_term).then_some(Sign::Term));
-        self.asked = sign.map(|sign| (session, sign));
-    }
-
-    /// A newer report: does it show that the answer to the one before was carried out? Some: it is taken for deaf from
-    /// now on, or no more.
-    fn heard(&mut self, r: &Report, term: u64, now: u64) -> Option<bool> {
-        let (session, sign) = self.asked.take()?;
-        let lists = |parcel: &str, attempt: u64| {
-            r.parcels.iter().any(|p| p.parcel == parcel && p.attempt == attempt)
-        };
-        let seen = match &sign {
-            // Its lease has run out although it was answered: or it hung for as long.
-            _ if session != r.shift => false,
-            Sign::Lists(parcel, attempt) => lists(parcel, *attempt),
-            Sign::Lacks(parcel, attempt) => !lists(parcel, *attempt),
-            Sign::Term => r.warrant >= term,
-        };
-        self.missed = if seen { 0 } else { self.missed.saturating_add(1) };
-        match (seen, self.deaf) {
-            (true, Some(_)) => {
-                self.deaf = None;
-                Some(false)
-            }
-            (false, None) if self.missed >= MOST => {
-                self.deaf = Some(now);
-                Some(true)
-            }
-            _ => None,
-        }
-    }
-}
-
 impl Cell {
     /// Takes note of whether a worker hears, by a report that is newer than the one answered last.
     pub(crate) fn listen(&mut self, mid: MachineId, r: &Report, now: u64) {
@@ -114,7 +42,7 @@
     pub(crate) fn deaf_returns(&self, now: u64) -> Vec<MachineId> {
         let most = (self.machines.len() / PART).max(1);
         let long = |m: &Machine| {
-            m.hearing.deaf.is_some_and(|since| now > since + 2 * self.settings.lease_ms())
+            m.hearing.deaf().is_some_and(|since| now > since + 2 * self.settings.lease_ms())
         };
         let leaving = self.machines.values().filter(|m| m.leaving && m.hearing.is_deaf()).count();
         self.machines
@@ -130,6 +58,7 @@
 mod tests {
     use super::*;
     use crate::for_tests::*;
+    use crate::state::hearing::Hearing;
 
     /// What a worker reports that carries out the answers or doesn't, and is one of `count` machines. Returns the cell
     /// after so many reports, each answered, and in how many answers tasks were sent.
@@ -177,35 +106,6 @@
         }
     }
 
-    #[test]
-    fn the_signs_of_each_order() {
-        let lists = |p: &[(&str, u64, &str)]| report(3, 9, TERM, p);
-        let run = |a| Order::Run { parcel: "wk-1/0".into(), attempt: a };
-        let forget = Order::Forget { parcel: "wk-1/0".into(), attempt: 4 };
-        let halt = Order::Halt { parcel: "wk-1/0".into(), attempt: 4, wind_down: 0.0 };
-        // (orders, answered when of this term, next report, session of the answered one, missed)
-        let rows = [
-            (vec![run(4)], true, lists(&[("wk-1/0", 4, "ended:full")]), 3, 0),
-            (vec![run(4)], true, lists(&[("wk-1/0", 3, "running")]), 3, 1),
-            (vec![forget.clone()], true, lists(&[]), 3, 0),
-            (vec![forget.clone()], true, lists(&[("wk-1/0", 4, "ended:done")]), 3, 1),
-            (vec![forget, run(5)], true, lists(&[("wk-1/0", 5, "running")]), 3, 0),
-            // What may take its time, or was done before, is no sign; nor is nothing.
-            (vec![halt], true, lists(&[("wk-1/0", 4, "running")]), 3, 0),
-            (vec![], true, lists(&[]), 3, 0),
-            (vec![], false, lists(&[]), 3, 0),
-            (vec![], false, report(3, 9, TERM - 1, &[]), 3, 1),
-            (vec![run(4)], true, lists(&[]), 2, 1),
-        ];
-        for (i, (orders, of_term, next, session, missed)) in rows.into_iter().enumerate() {
-            let mut h = Hearing::default();
-            h.answered(session, &orders, of_term);
-            h.heard(&next, TERM, T0);
-            assert_eq!(h.missed, missed, "row {i}");
-            assert!(h.asked.is_none(), "each sign is looked for once");
-        }
-    }
-
     #[test]
     fn half_a_fleet_that_is_deaf_is_given_back_a_few_at_a_time() {
         let mut c = cell();
@@ -214,7 +114,7 @@
             exchange(&mut c, &r(1), T0);
             if n % 2 == 0 {
                 let mid = c.machines.id(format!("n-{n}").as_str()).expect("there");
-                c.machines.get_mut(&mid).expect("there").hearing.deaf = Some(T0);
+                c.machines.get_mut(&mid).expect("there").hearing = Hearing::deaf_since(T0);
             }
         }
         let lease = c.settings.lease_ms();
--- a/crates/core/src/workers/nudges.rs
+++ b/crates/core/src/workers/nudges.rs
@@ -4,7 +4,6 @@
 //! carries the starts. Late or repeated a nudge starts nothing, whatever became of it: unlike a start that is sent
 //! directly, which may be carried out minutes later and would keep its task from being counted as absent until then.
 
-use crate::settings::Settings;
 use crate::state::cell::Cell;
 use crate::state::ledger::Key;
 use crate::state::machine::{Direct, Machine, Seen};
@@ -20,16 +19,6 @@
     Order::Run { parcel: format!("{NUDGE}/{}", attempt & 0xff_ffff), attempt }
 }
 
-impl Settings {
-    /// May starts wait no longer than workers take to report? Then they are asked to.
-    pub fn starts_hurry(&self) -> bool {
-        let d = &self.deployment;
-        let starts =
-            d.objectives.iter().filter(|o| matches!(o.kind.as_str(), "wait" | "guarantee"));
-        starts.filter_map(|o| o.within_s).any(|s| s < d.workers.report_s)
-    }
-}
-
 impl Cell {
     /// These keys are safe: whose starts wait for a report is asked for one.
     pub(crate) fn nudge(&mut self, keys: &[Key]) {
--- a/crates/core/tests/packs.rs
+++ b/crates/core/tests/packs.rs
@@ -141,8 +141,7 @@
     let told_of = told(&batch.apply);
     assert_eq!(told_of.len(), 1);
     for (path, list) in &told_of {
-        let all = if path == "p/0" { lists(&[2, 3, 4, 5, 6]) } else { lists(&[2, 3, 4, 5, 6]) };
-        assert_eq!(*list, all, "{path}");
+        assert_eq!(*list, lists(&[2, 3, 4, 5, 6]), "{path}");
     }
     c.applied(&batch, 2000);
     commit(&mut c);
