--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -6,9 +6,11 @@
 //! dropped whatever the earlier response said. Bodies of `/commands` prove nothing: they may be
 //! written between a report and its response.
 
+pub mod deaf;
 pub mod ends;
 pub mod faults;
 pub mod leases;
+pub mod nudges;
 pub mod orders;
 pub mod reports;
 pub mod squaring;
