--- a/crates/controller/src/leadership/mod.rs
+++ b/crates/controller/src/leadership/mod.rs
@@ -5,6 +5,7 @@
 pub mod probes;
 pub mod returns;
 pub mod stages;
+pub mod sweep;
 pub mod ticks;
 
 use crate::dealings;
@@ -270,6 +271,7 @@
         why = read_ends(node, term) => why,
         why = ticks(node, term) => why,
         why = stages::run(node, term, stamp) => why,
+        why = sweep::run(node, term) => why,
         _ = dealings::run(node.clone(), term) => "superseded",
     }
 }
--- a/crates/controller/src/metrics.rs
+++ b/crates/controller/src/metrics.rs
@@ -80,6 +80,8 @@
     let unreadable =
         figure("records_unreadable", "Records that can't be read or used, left as they are");
     let asked = node.state.lock().expect("lock").unreadable.len();
+    let swept =
+        figure("swept", "Jobs and tasks that were in no place and were put back, in this term");
     let writes_refused =
         figure("refused_writes", "Transactions of this term that the state service refused");
     let (seen, leads) = node.standing();
@@ -100,6 +102,9 @@
             let here = f64::from(u8::from(c.recovery.phase() as usize == i));
             phase.get_or_create(&vec![("phase", (*name).into())]).set(here);
         }
+        for (what, n) in [("jobs", c.swept.jobs), ("tasks", c.swept.tasks)] {
+            swept.get_or_create(&vec![("what", what.into())]).set(n as f64);
+        }
         unheard.get_or_create(&none).set(c.recovery.unheard() as f64);
         for (row, n) in c.squared.iter() {
             squared.get_or_create(&vec![("met", row.name().into())]).set(n as f64);
--- a/crates/controller/src/node/mod.rs
+++ b/crates/controller/src/node/mod.rs
@@ -73,6 +73,8 @@
     pub(super) reached: reach::Lock,
     seat: OnceLock<String>,
     pub lanes: directly::Lanes,
+    /// When this controller last gave its term up to have the records read anew.
+    anew: Mutex<Option<u64>>,
 }
 
 /// What a request was refused for, as the metrics name it.
@@ -102,6 +104,7 @@
             workers: Client::within(net.clone(), 1),
             net,
             lanes: directly::Lanes::new(&settings),
+            anew: Mutex::default(),
             settings: Arc::new(settings),
             start: Instant::now(),
             state: Mutex::default(),
@@ -126,6 +129,16 @@
         self.seat.get().map(String::as_str)
     }
 
+    /// May the records be read anew now, for a job that memory lacks? Not again within so long.
+    pub fn read_anew(&self, now: u64, pause: u64) -> bool {
+        let mut last = self.anew.lock().expect("lock");
+        let may = last.is_none_or(|at| now > at + pause);
+        if may {
+            *last = Some(now);
+        }
+        may
+    }
+
     /// Milliseconds on the steady clock; never 0.
     pub fn now(&self) -> u64 {
         self.start.elapsed().as_millis() as u64 + 1000
--- a/crates/controller/src/store.rs
+++ b/crates/controller/src/store.rs
@@ -157,6 +157,22 @@
         Ok(page.pairs.into_iter().filter_map(good).collect())
     }
 
+    /// A page of the keys with the prefix, beginning after one, and whether there are more.
+    pub async fn names(
+        &self,
+        prefix: &str,
+        since: Option<&str>,
+    ) -> Result<(Vec<String>, bool), StoreError> {
+        let since = since.map(|p| format!("&since={p}")).unwrap_or_default();
+        let path = format!("/store?prefix={prefix}{since}&limit={PAGE}");
+        let answer = self.http.get(&self.addr, &path, READ).await?;
+        if answer.status != 200 {
+            return Err(StoreError::Status(answer.status));
+        }
+        let page: Page<IgnoredAny> = Self::decode(&answer)?;
+        Ok((page.pairs.into_iter().map(|i| i.path).collect(), page.more))
+    }
+
     /// Every key with the prefix. One that can't be read keeps none of the others from being read.
     pub async fn list<T: DeserializeOwned>(&self, prefix: &str) -> Result<Listing<T>, StoreError> {
         let mut out = Listing { rows: vec![], bad: vec![] };
--- a/crates/controller/tests/world/main.rs
+++ b/crates/controller/tests/world/main.rs
@@ -5,6 +5,7 @@
 //! Left out: the doors' HTTP (users and workers ask a node as its front does), images and gangs, which the
 //! random schedules of the core play. What is measured is printed with `--nocapture`.
 
+mod known;
 mod network;
 mod returns;
 mod schedules;
@@ -40,6 +41,8 @@
     down: Mutex<BTreeSet<usize>>,
     pub checker: Mutex<Checker>,
     users: Mutex<Users>,
+    /// Copies of workers' reports arrive up to three leases later.
+    pub copies: std::sync::atomic::AtomicBool,
 }
 
 /// What users met.
@@ -49,6 +52,11 @@
     refused: usize,
     waiting: BTreeMap<String, Instant>,
     worst: Duration,
+    /// When a question about each accepted job was answered last, and whether it was called done.
+    told: BTreeMap<String, (Instant, bool)>,
+    /// When all troubles were over; from then on the longest that questions about one job went unanswered.
+    calm: Option<Instant>,
+    unanswered: Duration,
 }
 
 impl Users {
@@ -59,10 +67,28 @@
             self.waiting.remove(uid);
             self.worst = self.worst.max(took);
             self.accepted.insert(uid.into(), took);
+            self.told.entry(uid.into()).or_insert((Instant::now(), false));
         }
     }
 }
 
+impl Users {
+    /// How long questions about a job have gone unanswered by now, since the troubles were over.
+    fn silence(&self, uid: &str) -> Duration {
+        let since = self.told.get(uid).map(|(at, _)| *at).max(self.calm);
+        self.calm.and(since).map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
+    /// A question about an accepted job was answered.
+    fn told(&mut self, uid: &str, status: &str) {
+        self.unanswered = self.unanswered.max(self.silence(uid));
+        let done = status == "done";
+        let before = self.told.insert(uid.into(), (Instant::now(), done));
+        assert!(done || !before.is_some_and(|(_, done)| done), "went_back: {uid} is {status}");
+        assert_ne!(status, "aborted", "went_back: {uid}, which nobody cancelled");
+    }
+}
+
 /// What a schedule came to.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -75,6 +101,8 @@
     /// Time in which nobody led, from the first leader on, and how often the leader changed.
     pub leaderless: Duration,
     pub changes: usize,
+    /// The longest that questions about one accepted job went unanswered once the troubles were over.
+    pub unanswered: Duration,
 }
 
 /// Runs a controller that has its own address to itself.
@@ -135,6 +163,7 @@
             down: Mutex::default(),
             checker: Mutex::default(),
             users: Mutex::default(),
+            copies: Default::default(),
             net,
         });
         for (ix, node) in nodes.into_iter().enumerate() {
@@ -222,6 +251,13 @@
         (out.worst, out.refused) = (users.worst, users.refused);
         let open = users.waiting.values().map(Instant::elapsed).max().unwrap_or_default();
         out.worst = out.worst.max(open);
+        let silent = users.accepted.keys().map(|uid| users.silence(uid)).max().unwrap_or_default();
+        out.unanswered = users.unanswered.max(silent);
+    }
+
+    /// All troubles are over.
+    pub fn calm(&self) {
+        self.users.lock().expect("lock").calm = Some(Instant::now());
     }
 
     /// Measures submissions from here on.
@@ -295,13 +331,32 @@
         let taken = reply.is_some_and(|r| r.status == 200 || r.status == 201);
         world.users.lock().expect("lock").answered(&uid, begun, taken);
         if taken {
-            return;
+            return poll(world, uid, n).await;
         }
         sleep(Duration::from_secs(1)).await;
     }
     panic!("{uid} was turned away for a minute");
 }
 
+/// Asks about an accepted job every 5 s for ever, waiting 2 s for an answer, done or not.
+async fn poll(world: Arc<World>, uid: String, n: usize) {
+    for attempt in n.. {
+        sleep(Duration::from_secs(5)).await;
+        let up: Vec<usize> =
+            (0..world.count()).filter(|ix| !world.is_down(*ix) && world.node(*ix).up()).collect();
+        if up.is_empty() {
+            continue;
+        }
+        let exchange = world.ask(Host::Users, up[attempt % up.len()], Op::Show, uid.as_bytes());
+        let Ok(Some(reply)) = timeout(Duration::from_secs(2), exchange).await else { continue };
+        assert_ne!(reply.status, 404, "forgotten: {uid}");
+        if reply.status == 200 {
+            let shown = rmp_serde::from_slice::<Shown>(&reply.body).expect("a job");
+            world.users.lock().expect("lock").told(&uid, &shown.status);
+        }
+    }
+}
+
 /// Runs a future on a paused clock.
 pub fn run<F: Future>(f: F) -> F::Output {
     let runtime =
--- a/crates/controller/tests/world/returns.rs
+++ b/crates/controller/tests/world/returns.rs
@@ -37,6 +37,8 @@
     leaderless: u64,
     /// Seconds that a submission may take.
     submit: u64,
+    /// Seconds until it is looked at.
+    watch: u64,
 }
 
 const fn row(
@@ -46,7 +48,7 @@
     leaderless: u64,
     submit: u64,
 ) -> Row {
-    Row { what, ends, back, beside: Beside::Nothing, leaderless, submit }
+    Row { what, ends, back, beside: Beside::Nothing, leaderless, submit, watch: 20 }
 }
 
 use Whom::*;
@@ -122,7 +124,7 @@
             });
         }
     }
-    world.watch(Duration::from_secs(20), &mut out).await;
+    world.watch(Duration::from_secs(row.watch), &mut out).await;
     cut(None);
     world.sum(&mut out);
     world.settle().await;
@@ -148,6 +150,24 @@
     }
 }
 
+/// Guards against what an election leaves half done: the term raised and not led, the key taken by a process that is no
+/// more, records half read, a lane of an older term. All end, and all again at each of these moments after they are back.
+#[test]
+fn an_end_at_any_moment_of_an_election_is_one_more_election() {
+    for back in [50, 300] {
+        for again in [20, 90, 200, 350, 600] {
+            let ends: &'static [(u64, Whom)] =
+                Box::leak(Box::new([(0, All), (back + again, All), (2 * (back + again), Leader)]));
+            let what = "all, again in the middle of the election, and then who leads";
+            let r = Row { watch: 50, ..row(what, ends, back, 9_500, 12) };
+            let out = run(play(&r, back + again));
+            assert_eq!(out.killed, 0, "back after {back} ms, again after {again}: {out:?}");
+            assert!(out.leaderless <= Duration::from_millis(r.leaderless), "{again}: {out:?}");
+            assert!(out.worst <= Duration::from_secs(r.submit), "{again}: {out:?}");
+        }
+    }
+}
+
 #[test]
 fn two_processes_of_one_name_and_one_that_hangs_lead_one_at_a_time() {
     // Started by mistake with the leader's settings: the port is not to be had, so nothing proves that the
--- a/crates/controller/tests/world/schedules.rs
+++ b/crates/controller/tests/world/schedules.rs
@@ -7,7 +7,7 @@
 
 /// What is cut of a controller, or a zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Side {
+pub(super) enum Side {
     State,
     Workers,
     Peers,
@@ -39,7 +39,7 @@
     Cut { at, lasts, who, from, mode }
 }
 
-fn set(world: &World, who: usize, from: Side, mode: Option<Mode>) {
+pub(super) fn set(world: &World, who: usize, from: Side, mode: Option<Mode>) {
     let (net, me) = (&world.net, Host::Controller(who));
     let zones = 0..world.zones.len();
     match from {
--- a/crates/controller/tests/world/workers.rs
+++ b/crates/controller/tests/world/workers.rs
@@ -106,6 +106,13 @@
                     if self.tasks.contains_key(&o.parcel) {
                         continue;
                     }
+                    // A task of no job is refused, and shows.
+                    if o.parcel.starts_with("nudge/") {
+                        let (ends, cause) = (Instant::now(), Some("no_such"));
+                        let task = Task { attempt: o.attempt, ends, cause };
+                        self.tasks.insert(o.parcel.clone(), task);
+                        continue;
+                    }
                     let ends = Instant::now() + RUN;
                     let task = Task { attempt: o.attempt, ends, cause: None };
                     self.tasks.insert(o.parcel.clone(), task);
@@ -192,6 +199,16 @@
             (encode(&w.report(&world.zones)), w.shift)
         };
         let sent = Instant::now();
+        // Copies come late, seconds to three leases, to whichever controller.
+        if world.copies.load(std::sync::atomic::Ordering::Relaxed) && rng.random_bool(0.5) {
+            let late = Duration::from_millis(rng.random_range(1_000..lease.as_millis() as u64 * 3));
+            let (world, body) = (world.clone(), body.clone());
+            let other = rng.random_range(0..world.count());
+            tokio::spawn(async move {
+                sleep(late).await;
+                let _ = timeout(ANSWER, world.ask(here, other, Op::Report, &body)).await;
+            });
+        }
         let exchange = world.ask(here, to, Op::Report, &body);
         // Whatever is under way when its sender has given up still arrives.
         let reply = tokio::select! {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod records;
 pub mod settings;
 pub mod state;
+pub mod sweep;
 pub mod takeover;
 pub mod workers;
 
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -58,6 +58,8 @@
     next_try: u64,
     /// Workers are asked to report when starts wait for it.
     pub hurry: bool,
+    /// What sweeps have put back in this term (`sweep`).
+    pub swept: crate::sweep::Swept,
     /// Something changed that may let a task be placed.
     pub stir: bool,
     /// When the last placement pass was.
@@ -96,6 +98,7 @@
             aside: Aside::default(),
             packs: Packs::default(),
             finals: Finals::default(),
+            swept: Default::default(),
             hurry: settings.starts_hurry(),
             settings,
             term,
--- /dev/null
+++ b/crates/core/src/sweep.rs
@@ -0,0 +1,139 @@
+//! A job that is open is in exactly one place: waiting for others, in the queue with tasks that wait, are on machines or
+//! done. What is in none would never run and nobody would notice. A sweep looks through all jobs now and then and puts
+//! back what was lost; what it finds is a defect, and is named.
+
+use crate::state::cell::Cell;
+use crate::state::names::JobId;
+
+/// What a sweep put back.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Swept {
+    /// Jobs that were in no queue, and tasks that waited nowhere.
+    pub jobs: usize,
+    pub tasks: usize,
+}
+
+impl Cell {
+    /// Looks through all open jobs.
+    pub fn sweep(&mut self) -> Swept {
+        let mut swept = Swept::default();
+        let ready: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.open() && job.awaits.is_empty())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ready {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let turn = (job.turn_at, id);
+            let twice = job.onto.keys().filter(|t| job.done.contains(**t)).count();
+            let known =
+                job.waiting.len() as usize + job.done.len() as usize + job.onto.len() - twice;
+            let mut lost = vec![];
+            if known < job.spec.tasks as usize {
+                let nowhere = |t: &u32| {
+                    !job.waiting.contains(*t) && !job.done.contains(*t) && !job.onto.contains_key(t)
+                };
+                lost = (0..job.spec.tasks).filter(nowhere).collect();
+            }
+            let uid = job.spec.uid.clone();
+            if !lost.is_empty() {
+                tracing::error!(
+                    "{} tasks of {uid} were nowhere and wait again: report this with the log",
+                    lost.len()
+                );
+                swept.tasks += lost.len();
+                lost.into_iter().for_each(|t| {
+                    job.waiting.insert(t);
+                });
+            }
+            if self.queue.insert(turn) {
+                tracing::error!("{uid} was in no queue and waits again: report this with the log");
+                swept.jobs += 1;
+                self.open_service(id);
+            }
+        }
+        self.stir |= swept != Swept::default();
+        self.swept.jobs += swept.jobs;
+        self.swept.tasks += swept.tasks;
+        swept
+    }
+
+    /// Of these open records, those whose jobs are in no place of this leader's memory: neither known nor set aside, nor
+    /// about to be recorded or over.
+    pub fn nowhere<'a>(&self, uids: impl Iterator<Item = &'a str>) -> Vec<String> {
+        let unknown = |uid: &&str| {
+            !self.jobs.has(uid) && !self.finals.has(uid) && self.aside.job(uid).is_none()
+        };
+        uids.filter(unknown).map(ToString::to_string).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::for_tests::*;
+
+    #[test]
+    fn what_was_dropped_from_memory_is_put_back_and_runs() {
+        type Drop = fn(&mut Cell, JobId);
+        let rows: [(&str, Drop, Swept); 4] = [
+            ("nothing", |_, _| {}, Swept::default()),
+            (
+                "two tasks",
+                |c, id| {
+                    let job = c.jobs.get_mut(&id).expect("there");
+                    job.waiting.remove(0);
+                    job.waiting.remove(2);
+                },
+                Swept { jobs: 0, tasks: 2 },
+            ),
+            (
+                "its place in the queue",
+                |c, id| {
+                    let turn = (c.jobs[&id].turn_at, id);
+                    c.queue.remove(&turn);
+                    c.service.forget(crate::state::served::key(id));
+                },
+                Swept { jobs: 1, tasks: 0 },
+            ),
+            (
+                "all of it, with one task done",
+                |c, id| {
+                    let turn = (c.jobs[&id].turn_at, id);
+                    c.queue.remove(&turn);
+                    c.service.forget(crate::state::served::key(id));
+                    let job = c.jobs.get_mut(&id).expect("there");
+                    job.done.insert(1);
+                    job.waiting.clear();
+                },
+                Swept { jobs: 1, tasks: 2 },
+            ),
+        ];
+        for (what, drop, expected) in rows {
+            let mut c = cell();
+            let id = add_job(&mut c, "wk-1", |b| (b.parcels, b.cpus, b.due_s) = (3, 1.0, None));
+            let other = add_job(&mut c, "wk-2", |b| (b.parcels, b.cpus, b.due_s) = (1, 1.0, None));
+            commit(&mut c);
+            drop(&mut c, id);
+            assert_eq!(c.sweep(), expected, "{what}");
+            assert_eq!(c.sweep(), Swept::default(), "{what}: once");
+            c.check();
+            let orders = exchange(&mut c, &report(1, 1, TERM, &[]), T0);
+            let done = c.jobs[&id].done.len() as usize;
+            assert_eq!(orders.len() + done, 4, "{what}");
+            // What is cancelled, done or waits for others is in no queue and stays out of it.
+            c.cancel(other, T0);
+            assert_eq!(c.sweep(), Swept::default(), "{what}: cancelled");
+        }
+    }
+
+    #[test]
+    fn a_record_of_a_job_that_is_in_no_place_is_found() {
+        let mut c = cell();
+        add_job(&mut c, "wk-1", |_| ());
+        c.aside.set_job("wk-2", "its record can't be used".into());
+        c.finals.remember("wk-3".into(), crate::records::FinalRecord { done: true, tasks: 1 });
+        assert_eq!(c.nowhere(["wk-1", "wk-2", "wk-3", "wk-4"].into_iter()), ["wk-4"]);
+    }
+}
