--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -27,6 +27,13 @@
 /// Passes are at least this far apart.
 pub const PASS_MS: u64 = 50;
 
+/// What sweeps put back: jobs that were in no queue, and tasks that waited nowhere (`sweep`).
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Swept {
+    pub jobs: usize,
+    pub tasks: usize,
+}
+
 pub struct Cell {
     pub settings: Arc<Settings>,
     pub term: u64,
@@ -59,7 +66,7 @@
     /// Workers are asked to report when starts wait for it.
     pub hurry: bool,
     /// What sweeps have put back in this term (`sweep`).
-    pub swept: crate::sweep::Swept,
+    pub swept: Swept,
     /// Something changed that may let a task be placed.
     pub stir: bool,
     /// When the last placement pass was.
--- a/crates/core/src/sweep.rs
+++ b/crates/core/src/sweep.rs
@@ -2,17 +2,9 @@
 //! done. What is in none would never run and nobody would notice. A sweep looks through all jobs now and then and puts
 //! back what was lost; what it finds is a defect, and is named.
 
-use crate::state::cell::Cell;
+use crate::state::cell::{Cell, Swept};
 use crate::state::names::JobId;
 
-/// What a sweep put back.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Swept {
-    /// Jobs that were in no queue, and tasks that waited nowhere.
-    pub jobs: usize,
-    pub tasks: usize,
-}
-
 impl Cell {
     /// Looks through all open jobs.
     pub fn sweep(&mut self) -> Swept {
