--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -4,8 +4,8 @@
 use crate::state::job::{EPS, Job};
 use crate::state::names::*;
 use crate::state::served;
-use copperhaven_fairness::Team;
 use copperhaven_fairness::need::{Claim, Need, Needs, Place, order};
+use copperhaven_fairness::{Class, Team};
 use copperhaven_wire::jobs::{Precedence, Shape};
 use std::collections::BTreeMap;
 
@@ -40,6 +40,25 @@
 const FAR: f64 = 3.0;
 const FAR_SHORT: f64 = 12.0;
 
+/// One of its class's largest jobs of which nothing has begun after this long goes before its equals, while such jobs
+/// have less than a third of what its class uses: least work first would leave them for last for as long as a flood
+/// lasts, and users count a largest job that has not begun after four minutes as not served.
+const BEGIN_MS: i64 = 120_000;
+const LARGE_PART: f64 = 1.0 / 3.0;
+
+/// CPUs that a class uses, and of them its largest jobs.
+#[derive(Debug, Default)]
+struct Use {
+    all: f64,
+    large: f64,
+}
+
+impl Use {
+    fn has_room(&self) -> bool {
+        self.large < self.all * LARGE_PART || self.all == 0.0
+    }
+}
+
 impl Cell {
     /// Open jobs in the order in which they are served: those within their team's guarantee first,
     /// those of teams without one last, then by precedence. Among equals, those that can still be in time and have the least work
@@ -47,6 +66,7 @@
     /// a team or a class is served too little, that order is changed (`copperhaven_fairness::need`).
     pub fn ranked(&self, needs: &Needs, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.teams.len()];
+        let large = self.used_by_large();
         let mut places: Vec<Place<Rank, bool>> = Vec::new();
         for (at, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
@@ -56,7 +76,8 @@
             sum.1 += job.spec.cards * f64::from(job.left());
             let within = sum.0 <= team.cpus + EPS && sum.1 <= team.gpus + EPS;
             let pair = served::pair(&job.spec);
-            let (turn, work) = self.turn(job, needs.class(pair), now);
+            let first = self.must_begin(job, now) && large.get(&pair).is_none_or(Use::has_room);
+            let (turn, work) = if first { (0, 0) } else { self.turn(job, needs.class(pair), now) };
             let rank = (!within, team.is_guest(), job.spec.precedence, turn, work, *at, *id);
             let cpus = job.spec.cpus * f64::from(job.waiting.len());
             places.push(Place { pair, rank, cpus, what: within });
@@ -90,6 +111,28 @@
         self.service.needs(&claims, cpus)
     }
 
+    /// Is it one of its class's largest, and has waited long without anything of it having begun?
+    fn must_begin(&self, job: &Job, now: u64) -> bool {
+        let begun = job.started || !job.onto.is_empty() || !job.done.is_empty();
+        !begun
+            && now as i64 - job.since > BEGIN_MS
+            && self.sizes.is_large(job.spec.class, job.spec.tasks)
+    }
+
+    /// What the largest jobs of each team and class use, of all that it uses.
+    fn used_by_large(&self) -> BTreeMap<(Team, Class), Use> {
+        let mut out: BTreeMap<(Team, Class), Use> = BTreeMap::new();
+        for job in self.queue.iter().filter_map(|(_, id)| self.jobs.get(id)) {
+            let cpus = job.spec.cpus * f64::from(job.onto.values().sum::<u32>());
+            let of = out.entry(served::pair(&job.spec)).or_default();
+            of.all += cpus;
+            if self.sizes.is_large(job.spec.class, job.spec.tasks) {
+                of.large += cpus;
+            }
+        }
+        out
+    }
+
     /// The work left of a job, in CPU milliseconds.
     fn work_ms(&self, job: &Job) -> u64 {
         let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
--- a/crates/core/src/placement/tests.rs
+++ b/crates/core/src/placement/tests.rs
@@ -1,12 +1,14 @@
 use super::order::Ranked;
 use super::pass::*;
 use crate::admission::shape::admit_shape;
-use crate::state::cell::PASS_MS;
+use crate::for_tests::*;
+use crate::state::cell::{Cell, PASS_MS};
 use crate::state::job::Spec;
 use crate::state::names::*;
 use copperhaven_fairness::need::Need;
 use copperhaven_wire::jobs::JobBody;
 use copperhaven_wire::jobs::{Precedence, Shape};
+use copperhaven_wire::workers::Report;
 use std::sync::Arc;
 
 fn spec(edit: fn(&mut JobBody)) -> Arc<Spec> {
@@ -99,3 +101,35 @@
         assert_eq!(full.none_to_stop(ranked(guaranteed), &s, need), skip, "victims {i}");
     }
 }
+
+#[test]
+fn a_class_s_largest_jobs_begin_while_small_ones_keep_coming() {
+    // Found on a day of four times the work: least work first left the largest arrays for seven minutes.
+    let mut c = cell();
+    for n in 0..40 {
+        add_job(&mut c, &format!("wk-{n}"), |b| {
+            (b.parcels, b.cpus, b.due_s) = (2, 1.0, None);
+            b.owner = "guest".into();
+        });
+    }
+    let large = add_job(&mut c, "wk-99", |b| {
+        (b.parcels, b.cpus, b.due_s) = (30, 1.0, None);
+        b.owner = "guest".into();
+    });
+    let twin = add_job(&mut c, "wk-98", |b| {
+        (b.parcels, b.cpus, b.due_s) = (30, 1.0, None);
+        b.owner = "guest".into();
+    });
+    commit(&mut c);
+    let first = |c: &Cell, now| c.ranked(&c.who_needs(), now)[0].id;
+    assert!(first(&c, T0 + 1_000) != large, "the least work first");
+    // None of them may be in time any more, nor has waited far too long.
+    let late = T0 + 125_000;
+    assert_eq!(first(&c, late), large);
+    // It has begun: while the largest have a third of what the class uses, the others go on first.
+    let r = |tally| Report { berth: "big".into(), ..report(1, tally, TERM, &[]) };
+    exchange(&mut c, &r(1), late);
+    assert!(c.jobs[&large].onto.len() > 10);
+    assert!(first(&c, late + 100) != twin, "one at a time, a third of what is used at most");
+    c.check();
+}
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -14,6 +14,7 @@
 use crate::state::packs::Packs;
 use crate::state::rates::Rates;
 use crate::state::served;
+use crate::state::sizes::Sizes;
 use crate::state::table::Table;
 use crate::state::teams::{Teams, Usage};
 use copperhaven_fairness::ledger::Service;
@@ -55,6 +56,8 @@
     pub fleet: Fleet,
     /// What was served to whom.
     pub service: Service,
+    /// How large the jobs of each class are.
+    pub sizes: Sizes,
     /// Who was served too little, as of the last placement pass.
     pub needs: Needs,
     pub direct: Vec<Direct>,
@@ -100,6 +103,7 @@
             rates: Rates::new(pools, settings.tuning.rate_window),
             fleet: Fleet::new(term),
             service: Service::default(),
+            sizes: Sizes::default(),
             needs: Needs::default(),
             links: Links::default(),
             aside: Aside::default(),
@@ -211,6 +215,7 @@
         job.due = job.spec.deadline_s.map(|s| born + span_ms(s));
         let run = self.rates.run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
         job.eta = born + span_ms(run);
+        self.sizes.add(job.spec.class, job.spec.tasks);
         self.queue.insert((at, id));
         self.jobs.insert(id, job);
         self.open_service(id);
--- a/crates/core/src/state/ledger.rs
+++ b/crates/core/src/state/ledger.rs
@@ -108,10 +108,15 @@
     saved: HashMap<Key, u64>,
     stamps: HashMap<String, u64>,
     ver: u64,
+    /// Finished ranges that may go before others by now, and parts of one.
+    ranges_due: f64,
     /// Records that are longer than a value may be, and wait until they have shrunk.
     held_back: BTreeSet<Key>,
 }
 
+/// What of the changes may go to finished ranges before others.
+const RANGES_PART: f64 = 0.125;
+
 /// A transaction holds so many bytes at most: below the service's 64 KiB, with room for its frame.
 const MOST_BYTES: usize = 48 << 10;
 
@@ -126,6 +131,7 @@
             saved: HashMap::new(),
             stamps: HashMap::new(),
             ver: 0,
+            ranges_due: 1.0,
             held_back: BTreeSet::new(),
         }
     }
@@ -235,14 +241,14 @@
     /// Dirty keys in the order in which they are written: by urgency, those that have waited
     /// longest first, so that none is passed over for ever by those that change all the time.
     /// Finished ranges are many and nobody waits for them (a job that is over has its final
-    /// record instead): a transaction takes a quarter of them, and each record says more.
-    fn urgent(&self, source: &impl Source, ops: usize) -> Vec<Key> {
+    /// record instead): one in eight changes is of them, and each record says more.
+    fn urgent(&self, source: &impl Source) -> Vec<Key> {
         let urgency =
             |key: &Key| if source.can_wait(key, self) { Key::LAST } else { key.urgency() };
         let mut order: Vec<(u8, u64, &Key)> =
             self.dirty.iter().map(|(key, (since, _))| (urgency(key), *since, key)).collect();
         order.sort_unstable();
-        let mut ranges = (ops / 4).max(1);
+        let mut ranges = self.ranges_due as usize;
         let others = order.iter().any(|(urgency, ..)| *urgency < Key::RANGES);
         let mut first = vec![];
         let mut last = vec![];
@@ -265,12 +271,13 @@
     pub fn draft(&mut self, source: &impl Source, ops: usize, reserve: usize) -> Draft {
         let mut batch =
             Batch { ver: self.ver, keys: vec![], when: vec![self.leader.clone()], apply: vec![] };
+        self.ranges_due = (self.ranges_due + ops as f64 * RANGES_PART).min(ops as f64).max(0.0);
         let mut size = 0;
         let mut idle = vec![];
         let mut long = vec![];
         let mut paths: HashSet<String> = HashSet::new();
         let mut full = false;
-        for key in &self.urgent(source, ops) {
+        for key in &self.urgent(source) {
             // What stands in a value that is written anyway is recorded with it.
             if source.shared(key, self).is_some_and(|path| paths.contains(&path)) {
                 batch.keys.push(key.clone());
@@ -313,6 +320,8 @@
             batch.apply.extend(changes);
             batch.keys.push(key.clone());
         }
+        let ranges = batch.keys.iter().filter(|k| matches!(k, Key::Done(..))).count();
+        self.ranges_due = (self.ranges_due - ranges as f64).max(0.0);
         for key in idle {
             self.dirty.remove(&key);
             self.held_back.remove(&key);
--- a/crates/core/src/state/mod.rs
+++ b/crates/core/src/state/mod.rs
@@ -19,6 +19,7 @@
 pub mod packs;
 pub mod rates;
 pub mod served;
+pub mod sizes;
 pub mod table;
 pub mod tasks;
 pub mod teams;
