Packs know who has left and is not safe: no look at all shadows with each transaction

Need: processor time under overload at half as many machines again. Change: what a pack goes on listing and what it lists on record only are kept apart; a draft no longer asks for each shadow whether its new place is safe. What is written is as before (the same property and tables).

--- a/crates/core/src/recording.rs
+++ b/crates/core/src/recording.rs
@@ -30,8 +30,7 @@
         self.packs.turn_off();
         for mid in self.packs.packed() {
             let ver = self.touch(Key::Machine(mid));
-            let ledger = &self.ledger;
-            self.packs.leave(mid, ver, |mid, ver| ledger.is_saved(&Key::Machine(mid), ver));
+            self.packs.leave(mid, ver);
         }
     }
 
@@ -52,12 +51,10 @@
             return;
         }
         let listed = |mid| self.machines.get(&mid).map_or(0, |m| self.record_used(m));
-        let safe = |mid, ver| self.ledger.is_saved(&Key::Machine(mid), ver);
-        let moves = self.packs.plan(&dirty, self.ledger.value_limit, listed, safe);
+        let moves = self.packs.plan(&dirty, self.ledger.value_limit, listed);
         for (mid, pack) in moves {
             let ver = self.touch(Key::Machine(mid));
-            let ledger = &self.ledger;
-            self.packs.move_to(mid, pack, ver, |mid, ver| ledger.is_saved(&Key::Machine(mid), ver));
+            self.packs.move_to(mid, pack, ver);
         }
     }
 
@@ -111,8 +108,7 @@
             let number = change.path().strip_prefix("p/").and_then(|n| n.parse().ok());
             if let Some(pack) = number.map(PackId) {
                 // As it was rendered: before this transaction makes anything else safe.
-                let ledger = &self.ledger;
-                self.packs.written_anew(pack, |mid, ver| ledger.is_saved(&Key::Machine(mid), ver));
+                self.packs.written_anew(pack);
             }
         }
         self.ledger.applied(batch, rev);
@@ -152,9 +148,8 @@
                     if !self.machines.contains_key(mid) {
                         self.ledger.unmark(key);
                     }
-                    let ledger = &self.ledger;
-                    let safe = |mid, ver| ledger.is_saved(&Key::Machine(mid), ver);
-                    for pack in self.packs.left(*mid, safe) {
+                    self.packs.settle(*mid, batch.ver);
+                    for pack in self.packs.left(*mid) {
                         self.touch(Key::Pack(pack));
                     }
                 }
--- a/crates/core/src/state/book.rs
+++ b/crates/core/src/state/book.rs
@@ -63,8 +63,7 @@
     /// All machines of a pack; none: it is to go, if it is there.
     fn pack(&self, pack: PackId, ledger: &Ledger) -> Vec<Change> {
         let path = format!("p/{}", pack.0);
-        let safe = |mid, ver| ledger.is_saved(&Key::Machine(mid), ver);
-        let members = self.packs.written(pack, &safe).filter_map(|mid| self.machines.get(&mid));
+        let members = self.packs.written(pack).filter_map(|mid| self.machines.get(&mid));
         let packed: BTreeMap<String, MachineRecord> =
             members.map(|m| (m.name.clone(), self.machine_record(m))).collect();
         match packed.is_empty() {
