Read once more: large jobs' use added up only where it matters; small paces answer

Cause: each pass added up what the largest jobs use though none had to begin; a question that may cost three look-ups was never answered where the pace holds fewer; a figure that nobody read. Change: the sum is made when some job must begin; a question takes at most what the pace holds, and gives back no more.

--- a/crates/core/src/lookups.rs
+++ b/crates/core/src/lookups.rs
@@ -21,25 +21,19 @@
     by_last: BTreeSet<(u64, String)>,
     /// Of these, who has come back: a storm of questions that nobody repeats puts none of them off.
     back: BTreeSet<(u64, String)>,
-    /// Answers that were put off in a row for one job at most, in milliseconds: for the metrics.
-    pub longest_ms: u64,
 }
 
 impl Lookups {
     pub fn new(pace: Pace) -> Lookups {
-        Lookups {
-            pace,
-            waits: BTreeMap::new(),
-            by_last: BTreeSet::new(),
-            back: BTreeSet::new(),
-            longest_ms: 0,
-        }
+        Lookups { pace, waits: BTreeMap::new(), by_last: BTreeSet::new(), back: BTreeSet::new() }
     }
 
     /// May a question about this job cost `n` look-ups now? If not, it keeps its place among those that wait.
     pub fn may(&mut self, uid: &str, n: usize, now: u64) -> bool {
         self.pace.refill(now);
         self.leave_gone(now);
+        // Where the pace never holds as many, a question takes all there is, or it would never be answered.
+        let n = n.min(self.pace.most());
         let first = self.waits.get(uid).map_or(now, |(first, _)| *first);
         let turn = ((self.pace.per_s() * AGAIN_S) as usize / n.max(1)).max(1);
         let before = self.back.range(..(first, uid.to_string())).take(turn).count();
@@ -53,7 +47,6 @@
             (0..n).for_each(|_| {
                 self.pace.take();
             });
-            self.longest_ms = self.longest_ms.max(now.saturating_sub(first));
             self.leave(uid);
             return true;
         }
@@ -75,9 +68,9 @@
         self.pace.left() >= n && (0..n).all(|_| self.pace.take())
     }
 
-    /// Look-ups that an answer did without.
+    /// Look-ups that an answer did without; one at least was made.
     pub fn put_back(&mut self, n: usize) {
-        self.pace.put_back(n);
+        self.pace.put_back(n.min(self.pace.most() - 1));
     }
 
     pub fn left(&self) -> usize {
@@ -137,7 +130,6 @@
             [(7.2, 20, 0, 25), (7.2, 60, 0, 40), (7.2, 60, 2, 45), (54.0, 500, 3, 45)]
         {
             let ms = worst(rps, jobs, newcomers, 240);
-
             assert!(ms <= most * 1000, "{rps} a second, {jobs} jobs, {newcomers}: {ms} ms");
         }
     }
@@ -156,6 +148,8 @@
         // Those that ask no more leave their places.
         assert!(l.may("wk-200", 2, 1_000 + ASKS_MS + 500), "nothing was used meanwhile");
         assert!(!l.may("wk-201", 5, 1_000 + ASKS_MS + 501));
+        let mut slow = Lookups::new(Pace::new(1.2, 0));
+        assert!(slow.may("wk-1", 3, 0) && !slow.may("wk-1", 3, 500) && slow.may("wk-1", 3, 2_000));
         for n in 0..2 * MOST as u64 {
             l.may(&format!("wk-{n}"), 5, 60_000);
         }
--- a/crates/core/src/placement/order.rs
+++ b/crates/core/src/placement/order.rs
@@ -66,7 +66,10 @@
     /// a team or a class is served too little, that order is changed (`copperhaven_fairness::need`).
     pub fn ranked(&self, needs: &Needs, now: u64) -> Vec<Ranked> {
         let mut used = vec![(0.0, 0.0); self.teams.len()];
-        let large = self.used_by_large();
+        let mut open = self.queue.iter().filter_map(|(_, id)| self.jobs.get(id));
+        // What is used is only added up where it matters.
+        let any = open.any(|job| self.must_begin(job, now));
+        let large = if any { self.used_by_large() } else { BTreeMap::new() };
         let mut places: Vec<Place<Rank, bool>> = Vec::new();
         for (at, id) in &self.queue {
             let Some(job) = self.jobs.get(id) else { continue };
