Random schedules part leaders while users cancel: a holding time that is too long is caught

Need: cancellations while an old leader is isolated were too rare in them to catch a holding time that is too long. Change: 24 more schedules, in which a leader without the store keeps most workers to itself, its successor doesn't reach them, half of the tasks outlast any lease, and what those machines run is cancelled right after the takeover. The schedules before are as they were.

--- a/crates/core/tests/failures/leaders.rs
+++ b/crates/core/tests/failures/leaders.rs
@@ -54,7 +54,20 @@
         cell.hurry = hurry;
         read.packed = self.packs.contains(&term);
         rebuild(&mut cell, read, now, now);
-        let cut = (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
+        let mut cut: BTreeSet<usize> =
+            (0..self.workers.len()).filter(|_| self.rng.random_bool(0.15)).collect();
+        // An earlier leader that only lost the store keeps some workers to itself, which don't hear of this one.
+        if let Some(old) = self.leaders.last().map(|l| l.term)
+            && self.parts
+            && self.loyal.is_empty()
+        {
+            for i in 0..self.workers.len() {
+                if self.chance(0.8) {
+                    self.loyal.insert(i, old);
+                }
+            }
+        }
+        cut.extend(self.loyal.keys());
         self.leaders.push(Leader {
             term,
             cell,
@@ -94,6 +107,12 @@
         }
         let ends = |l: &Leader| now > l.renewed + holding || l.renewed == 0;
         self.leaders.retain(|l| now < l.still_until || !ends(l));
+        let live: BTreeSet<u64> = self.leaders.iter().map(|l| l.term).collect();
+        let before = self.loyal.len();
+        self.loyal.retain(|_, term| live.contains(term));
+        if before > 0 && self.loyal.is_empty() {
+            self.leaders.iter_mut().for_each(|l| l.cut.clear());
+        }
         if self.key.is_none() && self.chance(0.3) {
             self.elect();
         }
--- a/crates/core/tests/failures/main.rs
+++ b/crates/core/tests/failures/main.rs
@@ -5,7 +5,8 @@
 //! applied though nobody is told, or late; workers with tokens, sessions, leases and one report in
 //! flight; a network that delays, loses, duplicates and holds messages, and connections that work in
 //! one direction only; leaders that crash, stand still and go on, lose the store alone, or are cut
-//! off from some workers or from all, while a successor takes over. Jobs wait for others, are
+//! off from some workers or from all, while a successor takes over, and keep workers to themselves that don't hear of
+//! it while jobs are cancelled. Jobs wait for others, are
 //! cancelled in the middle of pipelines, and the store's limits fall while longer records exist.
 
 mod leaders;
@@ -21,9 +22,11 @@
     let mut starts = 0;
     let mut done = 0;
     let mut cancelled = 0;
-    let (mut copies, mut deaf) = (0, 0);
+    let (mut copies, mut deaf, mut parted) = (0, 0, 0);
+    let mut lingered = 0;
     let (mut derived, mut waited, mut refused, mut found) = (0, 0, 0, 0);
-    for seed in 0..60 {
+    // The last 24 part leaders from one another while users cancel.
+    for seed in 0..84 {
         let mut world = World::new(seed);
         let play = std::panic::AssertUnwindSafe(|| world.play(3000));
         if let Err(cause) = std::panic::catch_unwind(play) {
@@ -40,6 +43,8 @@
         found += world.found;
         copies += world.copies;
         deaf += world.deaf;
+        parted += world.parted;
+        lingered = lingered.max(world.lingered);
     }
     // The schedules must leave something to break.
     assert!(starts > 2000 && done > 200 && cancelled > 60, "{starts} {done} {cancelled}");
@@ -49,7 +54,10 @@
         copies > 100 && deaf > 100,
         "{copies} late copies taken, {deaf} beats with a deaf machine"
     );
+    assert!(parted > 60, "{parted} cancelled while an earlier leader held machines");
+    // The gap is brought about: `cancel_s` is 35 here, and what users were told had to wait for most of it.
+    assert!(lingered > 25_000, "cancelled, a task was there for {lingered} ms at most");
     println!(
-        "{starts} starts, {done} done, {cancelled} cancelled, {derived} with others, {waited} waited, {refused} refused, {found} unreadable"
+        "{starts} starts, {done} done, {cancelled} cancelled, {derived} with others, {waited} waited, {refused} refused, {found} unreadable, {parted} cancelled while an earlier leader held machines"
     );
 }
--- a/crates/core/tests/failures/troubles.rs
+++ b/crates/core/tests/failures/troubles.rs
@@ -9,12 +9,13 @@
         if self.chance(0.004) {
             self.leaders.pop();
         }
-        if self.chance(0.004)
+        if self.chance(if self.parts { 0.012 } else { 0.004 })
             && let Some(l) = self.leaders.last_mut()
         {
             l.store = false;
         }
         if self.chance(0.02)
+            && self.loyal.is_empty()
             && let Some(l) = self.leaders.first_mut()
         {
             l.store = true;
@@ -22,6 +23,7 @@
         if self.chance(0.01) {
             let i = self.rng.random_range(0..self.workers.len());
             if let Some(l) = self.leaders.last_mut()
+                && !self.loyal.contains_key(&i)
                 && !l.cut.remove(&i)
             {
                 l.cut.insert(i);
@@ -45,7 +47,7 @@
         if self.chance(0.02)
             && let Some(l) = self.leaders.last_mut()
         {
-            l.cut.clear();
+            l.cut = self.loyal.keys().copied().collect();
             l.mute.clear();
         }
         // Connections that work in one direction only: to one worker, or to all.
--- a/crates/core/tests/failures/users.rs
+++ b/crates/core/tests/failures/users.rs
@@ -86,12 +86,31 @@
                 cell.take_in(spec.expect("valid"), body, names, now, now);
             }
         }
-        if self.chance(0.002) && !self.submitted.is_empty() {
+        // Cancellations are common while an earlier leader holds machines that don't hear of this one, most of all at
+        // once: those have the longest to wait.
+        let parted = self.loyal.values().any(|term| *term < self.leaders[k].term);
+        let at_once = parted && now < self.leaders[k].cell.taken + 3_000;
+        let often = if at_once {
+            0.1
+        } else if parted {
+            0.01
+        } else {
+            0.002
+        };
+        if self.chance(often) && !self.submitted.is_empty() {
             let n = self.rng.random_range(0..self.submitted.len());
-            let uid = format!("wk-{n:06}");
+            let mut uid = format!("wk-{n:06}");
+            if at_once {
+                // One that such a machine runs.
+                let held = self.loyal.keys().flat_map(|i| &self.workers[*i].tasks);
+                let runs = held.filter(|(_, t)| t.cause.is_none());
+                let all: Vec<&str> = runs.filter_map(|(p, _)| p.split('/').next()).collect();
+                uid = all.get(n % all.len().max(1)).map_or(uid, |uid| uid.to_string());
+            }
             let cell = &mut self.leaders[k].cell;
             if let Some(id) = cell.jobs.id(uid.as_str()) {
                 cell.cancel(id, now);
+                self.parted += usize::from(parted && !self.asked_to_cancel.contains(&uid));
                 self.asked_to_cancel.insert(uid);
             }
         }
--- a/crates/core/tests/failures/workers.rs
+++ b/crates/core/tests/failures/workers.rs
@@ -50,7 +50,9 @@
                     }
                     assert!(known.is_none_or(|t| t.cause.is_some()), "busy: {parcel}");
                     self.on_start(i, &parcel);
-                    let run = self.rng.random_range(2_000..25_000);
+                    // Some outlast any lease and any holding.
+                    let long = self.parts && self.rng.random_bool(0.5);
+                    let run = self.rng.random_range(2_000..if long { 90_000 } else { 25_000 });
                     let ends = self.now + run;
                     let t = Task { attempt, ends, cause: None };
                     self.workers[i].tasks.insert(parcel, t);
@@ -115,12 +117,14 @@
         }
     }
 
-    pub fn check_cancelled(&self) {
+    pub fn check_cancelled(&mut self) {
         let most = (self.settings.deployment.workers.cancel_s * 1000.0) as u64;
         for w in &self.workers {
             for (p, t) in w.tasks.iter().filter(|(_, t)| t.cause.is_none()) {
                 let uid = p.split('/').next().unwrap_or("");
-                let late = self.told_cancelled.get(uid).is_some_and(|at| self.now > at + most);
+                let Some(at) = self.told_cancelled.get(uid) else { continue };
+                self.lingered = self.lingered.max(self.now - at);
+                let late = self.now > at + most;
                 assert!(!late, "ran_cancelled: {p} try {}", t.attempt);
             }
         }
@@ -156,8 +160,10 @@
                 return;
             }
             // Mostly the newest leader is found; now and then an old one.
-            let old = self.chance(0.2);
+            let old = self.chance(0.2) && self.loyal.is_empty();
             let pick = if old { self.rng.random_range(0..live.len()) } else { live.len() - 1 };
+            let loyal = self.loyal.get(&i).and_then(|term| live.iter().position(|t| t == term));
+            let pick = loyal.unwrap_or(pick);
             let report = self.report_of(i);
             self.workers[i].flight = Some((report.tally, now));
             if self.chance(0.05) {
--- a/crates/core/tests/failures/world.rs
+++ b/crates/core/tests/failures/world.rs
@@ -88,6 +88,15 @@
     pub term: u64,
     pub workers: Vec<Worker>,
     pub leaders: Vec<Leader>,
+    /// Workers that report to the leader of this earlier term alone, as long as it is there; its successors don't reach
+    /// them.
+    pub loyal: BTreeMap<usize, u64>,
+    /// Does that happen in this schedule?
+    pub parts: bool,
+    /// Jobs that were cancelled meanwhile.
+    pub parted: usize,
+    /// The longest that a task was there after its user was told that its job is cancelled.
+    pub lingered: u64,
     pub mail: Vec<(u64, Msg)>,
     pub submitted: BTreeMap<String, JobBody>,
     pub accepted: BTreeSet<String>,
@@ -162,6 +171,10 @@
             term: 0,
             workers: (0..5).map(worker).collect(),
             leaders: vec![],
+            loyal: BTreeMap::new(),
+            parts: seed >= 60,
+            parted: 0,
+            lingered: 0,
             mail: vec![],
             submitted: BTreeMap::new(),
             accepted: BTreeSet::new(),
