--- /dev/null
+++ b/crates/core/src/placement/limit_tests.rs
@@ -0,0 +1,138 @@
+//! What is stopped for a team's limit: gathered once in a pass, against looking through all that runs each time.
+
+use crate::for_tests::{T0, TERM, add_job, cell, report};
+use crate::state::cell::Cell;
+use crate::state::job::EPS;
+use crate::state::machine::{Entry, Seen};
+use crate::state::names::*;
+use crate::state::teams::Usage;
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
+use copperhaven_wire::workers::Report;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// The plain search: all machines, each time. What would be lost, and how much is freed. None: too little.
+fn plainly(c: &Cell, asker: JobId, lack: Usage, now: u64) -> Option<(f64, f64)> {
+    let spec = &c.jobs[&asker].spec;
+    let mut all: Vec<(f64, f64)> = vec![];
+    for m in c.machines.values() {
+        for ((id, _), e) in &m.entries {
+            let v = &c.jobs[id].spec;
+            let lower = v.team == spec.team && v.precedence > spec.precedence;
+            if lower && v.shape != Shape::Gang && e.stop.is_none() {
+                all.push((c.lost_s(v, e, now), v.cpus));
+            }
+        }
+    }
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    let (mut lost, mut freed) = (0.0, 0.0);
+    for (l, cpus) in all {
+        if freed + EPS >= lack.cpus {
+            break;
+        }
+        (lost, freed) = (lost + l, freed + cpus);
+    }
+    (freed + EPS >= lack.cpus).then_some((lost, freed))
+}
+
+type Edit = fn(&mut JobBody);
+
+/// Jobs of two teams, in all priorities, some of which save; a gang.
+const JOBS: [Edit; 7] = [
+    |b| b.precedence = Precedence::Low,
+    |b| (b.precedence, b.stamp_every_s, b.stamp_s) = (Precedence::Low, 10.0, 3.0),
+    |b| b.precedence = Precedence::Normal,
+    |b| (b.precedence, b.lot) = (Precedence::Normal, "rush".into()),
+    |b| b.precedence = Precedence::High,
+    |b| (b.precedence, b.owner) = (Precedence::Low, "blue".into()),
+    |b| (b.precedence, b.shape, b.parcels) = (Precedence::Low, Shape::Gang, 2),
+];
+
+/// A cell whose machines run tasks of all these jobs since various times.
+fn busy(rng: &mut StdRng) -> (Cell, Vec<JobId>, Vec<MachineId>, u64) {
+    let mut c = cell();
+    let now = T0 + 100_000;
+    let jobs: Vec<JobId> = JOBS
+        .iter()
+        .enumerate()
+        .map(|(n, edit)| {
+            let id = add_job(&mut c, &format!("wk-{n}"), *edit);
+            c.applied_for_test(id);
+            id
+        })
+        .collect();
+    let mut mids = vec![];
+    for n in 0..12 {
+        let r = Report { hearth: format!("n-{n}"), ..report(1, 1, TERM, &[]) };
+        c.on_report(&r, T0);
+        mids.push(c.machines.id(format!("n-{n}").as_str()).expect("there"));
+    }
+    for mid in &mids {
+        for _ in 0..rng.random_range(0..4) {
+            let id = jobs[rng.random_range(0..jobs.len())];
+            let task = c.jobs[&id].waiting.first(1);
+            let Some(task) = task.first() else { continue };
+            let mut e = Entry::new(1, 0, T0);
+            e.seen = Seen::Running;
+            e.mark = Some((1, 1));
+            e.running_at = T0 + rng.random_range(0..90_000);
+            c.attach(*mid, id, *task, e);
+        }
+    }
+    (c, jobs, mids, now)
+}
+
+#[test]
+fn what_is_gathered_once_in_a_pass_is_stopped_as_if_all_were_looked_through() {
+    // Guards against a search that grows with jobs times tasks (found: 60% of the processor time of a flood, and with it
+    // jobs that were forgotten), and against one that stops dearer work, too much, or what is gone.
+    let (mut some, mut none, mut several) = (0, 0, 0);
+    for seed in 0..300 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (mut c, jobs, mids, now) = busy(&mut rng);
+        c.stoppable.clear();
+        for _ in 0..6 {
+            let asker = jobs[rng.random_range(2..5)];
+            let spec = c.jobs[&asker].spec.clone();
+            let lack = Usage { cpus: rng.random_range(0..8) as f64 * 0.5, cards: 0.0 };
+            let plain = plainly(&c, asker, lack, now);
+            let stops = c.stops_for(&spec, lack, now);
+            let sum = stops.as_ref().map(|all| {
+                let lost: f64 = all.iter().map(|s| s.lost_s).sum();
+                (lost, all.iter().map(|s| s.uses.cpus).sum::<f64>())
+            });
+            match (plain, sum) {
+                (Some(a), Some(b)) => {
+                    assert!(
+                        (a.0 - b.0).abs() < 1e-6 && (a.1 - b.1).abs() < 1e-6,
+                        "{seed}: {a:?} {b:?}"
+                    );
+                    some += 1;
+                }
+                (a, b) => assert_eq!(a, b, "{seed}"),
+            }
+            none += usize::from(stops.is_none());
+            for s in stops.into_iter().flatten() {
+                several += 1;
+                c.stop_task(s.mid, s.id, s.task, now, 0.0);
+            }
+            // Meanwhile some are stopped for others, leave, or are placed.
+            let mid = mids[rng.random_range(0..mids.len())];
+            let there: Vec<(JobId, u32)> = c.machines[&mid].entries.keys().copied().collect();
+            if let Some((id, task)) = there.first().copied() {
+                if rng.random_bool(0.5) {
+                    c.stop_task(mid, id, task, now, 0.0);
+                } else {
+                    c.detach(mid, id, task);
+                }
+            }
+            let id = jobs[rng.random_range(0..2)];
+            if let Some(task) = c.jobs[&id].waiting.first(1).first() {
+                let attempt = c.new_attempt();
+                c.assign(mid, id, *task, attempt, now);
+            }
+            c.check();
+        }
+    }
+    assert!(some > 300 && none > 100 && several > 200, "{some} {none} {several}");
+}
--- a/crates/core/src/placement/limits.rs
+++ b/crates/core/src/placement/limits.rs
@@ -4,6 +4,7 @@
 use crate::state::job::{EPS, Spec};
 use crate::state::names::*;
 use crate::state::served;
+use crate::state::teams::{Stoppable, StoppableGroup, Usage};
 use copperhaven_wire::jobs::Shape;
 
 impl Cell {
@@ -50,61 +51,115 @@
         lower.iter().any(|u| u.cpus > EPS || u.cards > EPS)
     }
 
-    /// A job that waits for its own team's limit has the team's work of lower priority stopped,
-    /// the cheapest first. Returns whether it now waits for tasks that are being stopped.
-    pub(crate) fn make_team_room(&mut self, id: JobId, spec: &Spec, now: u64) -> bool {
-        let Some(job) = self.jobs.get(&id) else { return false };
-        let team = &self.settings.deployment.teams[spec.team.ix()];
-        let n = if spec.shape == Shape::Array { 1.0 } else { f64::from(job.waiting.len()) };
-        let (used, held) = (self.teams.usage(spec.team), self.teams.held(spec.team));
-        let mut cpus = used.cpus + held.cpus + spec.cpus * n - team.cpus_max;
-        let mut cards = used.cards + held.cards + spec.cards * n - team.gpus_max;
-        let own = self.needs.class(served::pair(spec));
-        let mut victims: Vec<(f64, MachineId, JobId, u32)> = Vec::new();
+    /// A team's tasks that could be stopped for its limit, by class and priority: gathered once in a pass, when somebody
+    /// first asks. Looking through all machines for each job that waits took 60% of the controllers' processor time in a
+    /// flood.
+    fn gather_stoppable(&mut self, team: TeamId, now: u64) {
+        if self.stoppable.len() < self.teams.len() {
+            self.stoppable.resize(self.teams.len(), None);
+        }
+        if self.stoppable[team.ix()].is_some() {
+            return;
+        }
+        let mut groups: Vec<StoppableGroup> = Vec::new();
         for (mid, m) in &self.machines {
-            for ((vid, task), e) in &m.entries {
-                let Some(v) = self.jobs.get(vid) else { continue };
-                if v.spec.team != spec.team {
-                    continue;
-                }
-                if e.stop.is_some() {
-                    cpus -= v.spec.cpus;
-                    cards -= v.spec.cards;
-                } else if v.spec.precedence > spec.precedence && v.spec.shape != Shape::Gang {
-                    // Nobody makes room who is as much in need as the one that wants it.
-                    if self.needs.class(served::pair(&v.spec)).is_spared(own) {
-                        continue;
-                    }
-                    let lost = self.lost_s(&v.spec, e, now);
-                    victims.push((lost, *mid, *vid, *task));
+            for ((id, task), e) in &m.entries {
+                let Some(job) = self.jobs.get(id) else { continue };
+                if job.spec.team == team && job.spec.shape != Shape::Gang && e.stop.is_none() {
+                    let lost_s = self.lost_s(&job.spec, e, now);
+                    let at = (*mid, *id, *task, e.attempt);
+                    StoppableGroup::add(
+                        &mut groups,
+                        served::pair(&job.spec),
+                        &job.spec,
+                        at,
+                        lost_s,
+                    );
                 }
             }
         }
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut stops = vec![];
-        for (_, mid, vid, task) in victims {
-            if cpus <= EPS && cards <= EPS {
-                break;
+        for g in &mut groups {
+            g.tasks.sort_by(|a, b| b.lost_s.total_cmp(&a.lost_s));
+        }
+        self.stoppable[team.ix()] = Some(groups);
+    }
+
+    /// What is to be stopped of a team, the cheapest first, so that so much more of its limit is free. None: there is
+    /// too little.
+    pub(crate) fn stops_for(
+        &mut self,
+        spec: &Spec,
+        lack: Usage,
+        now: u64,
+    ) -> Option<Vec<Stoppable>> {
+        let enough = |lack: Usage| lack.cpus <= EPS && lack.cards <= EPS;
+        if enough(lack) {
+            return Some(vec![]);
+        }
+        self.gather_stoppable(spec.team, now);
+        let own = self.needs.class(served::pair(spec));
+        let Cell { stoppable, needs, machines, .. } = self;
+        let groups = stoppable[spec.team.ix()].iter_mut().flatten();
+        // Nobody makes room who is as much in need as the one that wants it.
+        let lower = |g: &&mut StoppableGroup| {
+            g.precedence > spec.precedence && !needs.class(g.pair).is_spared(own)
+        };
+        let mut groups: Vec<&mut StoppableGroup> = groups.filter(lower).collect();
+        let all = |f: fn(&Usage) -> f64| groups.iter().map(|g| f(&g.uses)).sum::<f64>();
+        if lack.cpus > all(|u| u.cpus) + EPS || lack.cards > all(|u| u.cards) + EPS {
+            return None;
+        }
+        // Of each so many are left to choose from. Some have left or been stopped since they were gathered.
+        let mut left: Vec<usize> = groups.iter().map(|g| g.tasks.len()).collect();
+        let (mut stops, mut lack) = (vec![], lack);
+        while !enough(lack) {
+            let cheapest = |i: &usize| groups[*i].tasks[left[*i] - 1].lost_s;
+            let next = (0..groups.len())
+                .filter(|i| left[*i] > 0)
+                .min_by(|a, b| cheapest(a).total_cmp(&cheapest(b)))?;
+            left[next] -= 1;
+            let s = groups[next].tasks[left[next]];
+            let there = machines.get(&s.mid).and_then(|m| m.entries.get(&(s.id, s.task)));
+            // One that left and was placed there again is listed twice.
+            if there.is_some_and(|e| e.stop.is_none() && e.attempt == s.attempt) {
+                lack.cpus -= s.uses.cpus;
+                lack.cards -= s.uses.cards;
+                stops.push(s);
             }
-            let v = &self.jobs[&vid].spec;
-            cpus -= v.cpus;
-            cards -= v.cards;
-            let grace = if v.checkpoint_s > 0.0 { v.save_s + 1.0 } else { 0.0 };
-            stops.push((mid, vid, task, grace));
         }
-        if cpus > EPS || cards > EPS {
-            return false;
+        for (g, n) in groups.iter_mut().zip(left) {
+            g.keep(n);
         }
+        Some(stops)
+    }
+
+    /// A job that waits for its own team's limit has the team's work of lower priority stopped,
+    /// the cheapest first. Returns whether it now waits for tasks that are being stopped.
+    pub(crate) fn make_team_room(&mut self, id: JobId, spec: &Spec, now: u64) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let team = &self.settings.deployment.teams[spec.team.ix()];
+        let n = if spec.shape == Shape::Array { 1.0 } else { f64::from(job.waiting.len()) };
+        let (used, held) = (self.teams.usage(spec.team), self.teams.held(spec.team));
+        let stopping = self.teams.stopping(spec.team);
+        let lack = Usage {
+            cpus: used.cpus + held.cpus + spec.cpus * n - team.cpus_max - stopping.cpus,
+            cards: used.cards + held.cards + spec.cards * n - team.gpus_max - stopping.cards,
+        };
+        let Some(stops) = self.stops_for(spec, lack, now) else { return false };
         if !stops.is_empty() {
             let count = stops.len();
             tracing::info!("preempt {count} tasks for {}: its team's limit", spec.uid);
         }
-        for (mid, vid, task, grace) in stops {
-            self.count_stop(mid, vid, task, now);
-            if let Some(v) = self.jobs.get_mut(&vid) {
+        for s in stops {
+            let grace = self
+                .jobs
+                .get(&s.id)
+                .map_or(0.0, |v| if v.spec.checkpoint_s > 0.0 { v.spec.save_s + 1.0 } else { 0.0 });
+            self.count_stop(s.mid, s.id, s.task, now);
+            if let Some(v) = self.jobs.get_mut(&s.id) {
                 v.preempted += 1;
             }
-            self.stop_task(mid, vid, task, now, grace);
+            self.stop_task(s.mid, s.id, s.task, now, grace);
         }
         self.hold_limit(id, spec);
         true
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,8 @@
 pub mod singles;
 pub mod slots;
 
+#[cfg(test)]
+mod limit_tests;
 #[cfg(test)]
 mod need_tests;
 #[cfg(test)]
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -102,6 +102,7 @@
     fn pass(&mut self, now: u64, bounds: bool) {
         self.stir = false;
         self.passed = now;
+        self.stoppable.clear();
         let unknown = self.unknown_usage();
         self.teams.release_held(unknown);
         self.pass_service(now);
@@ -165,14 +166,21 @@
             let was = std::mem::replace(&mut job.wait, wait);
             if wait == Wait::TeamLimit {
                 // As below: looking through all that runs is dear.
-                let futile = now < job.look_at || !self.lower_work(&spec);
-                if !gang && !futile && slots.iter().any(|s| s.open_to(&spec)) {
+                let soon = now < job.look_at;
+                let waits_on = soon && was == Wait::Stopping && !gang;
+                if waits_on {
+                    job.wait = Wait::Stopping;
+                }
+                let futile = soon || !self.lower_work(&spec);
+                if waits_on {
+                    // For what is being stopped; its share of the limit is kept for it meanwhile.
+                    self.hold_limit(r.id, &spec);
+                } else if !gang && !futile && slots.iter().any(|s| s.open_to(&spec)) {
                     let found = self.make_team_room(r.id, &spec, now);
                     if let Some(job) = self.jobs.get_mut(&r.id) {
+                        job.look_at = now + if found { AGAIN_MS } else { LOOK_MS };
                         if found {
                             job.wait = Wait::Stopping;
-                        } else {
-                            job.look_at = now + LOOK_MS;
                         }
                     }
                 }
--- a/crates/core/src/state/cell.rs
+++ b/crates/core/src/state/cell.rs
@@ -16,12 +16,12 @@
 use crate::state::served;
 use crate::state::sizes::Sizes;
 use crate::state::table::Table;
-use crate::state::teams::{Teams, Usage};
+use crate::state::teams::{StoppableGroup, Teams, Usage};
 use copperhaven_fairness::ledger::Service;
 use copperhaven_fairness::need::Needs;
 use copperhaven_recovery::phase::Recovery;
 use copperhaven_recovery::square::Counts;
-use copperhaven_wire::jobs::{JobBody, Precedence};
+use copperhaven_wire::jobs::{JobBody, Precedence, Shape};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -61,6 +61,8 @@
     /// Who was served too little, as of the last placement pass.
     pub needs: Needs,
     pub direct: Vec<Direct>,
+    /// In one placement pass: what could be stopped for the limits of teams, by team, once somebody asked.
+    pub(crate) stoppable: Vec<Option<Vec<StoppableGroup>>>,
     /// How far this leader's takeover is, and what it met when reports were held against records.
     pub recovery: Recovery,
     pub squared: Counts,
@@ -120,6 +122,7 @@
             queue: BTreeSet::new(),
             machines: Table::default(),
             direct: Vec::new(),
+            stoppable: Vec::new(),
             next_id: 0,
             next_try: 0,
             stir: true,
@@ -388,6 +391,7 @@
     pub fn assign(&mut self, mid: MachineId, id: JobId, task: u32, attempt: u64, now: u64) {
         let ver = self.touch(Key::Machine(mid));
         self.attach(mid, id, task, Entry::new(attempt, ver, now));
+        self.stoppable_too(mid, id, task, attempt);
         if let Some(job) = self.jobs.get_mut(&id)
             && let Some(m) = self.machines.get(&mid)
         {
@@ -403,11 +407,27 @@
         }
     }
 
+    /// What is placed in a pass after somebody asked what could be stopped can be stopped as well, and loses nothing.
+    fn stoppable_too(&mut self, mid: MachineId, id: JobId, task: u32, attempt: u64) {
+        let Some(job) = self.jobs.get(&id).filter(|j| j.spec.shape != Shape::Gang) else { return };
+        if let Some(Some(groups)) = self.stoppable.get_mut(job.spec.team.ix()) {
+            let at = (mid, id, task, attempt);
+            StoppableGroup::add(groups, served::pair(&job.spec), &job.spec, at, 0.0);
+        }
+    }
+
     pub fn attach(&mut self, mid: MachineId, id: JobId, task: u32, entry: Entry) {
         let (Some(m), Some(job)) = (self.machines.get_mut(&mid), self.jobs.get_mut(&id)) else {
             return;
         };
-        if m.entries.insert((id, task), entry).is_some() {
+        let stops = entry.stop.is_some();
+        let before = m.entries.insert((id, task), entry);
+        match (before.as_ref().is_some_and(|e| e.stop.is_some()), stops) {
+            (false, true) => self.teams.stop(&job.spec),
+            (true, false) => self.teams.stopped(&job.spec),
+            _ => {}
+        }
+        if before.is_some() {
             return;
         }
         m.add(&job.spec);
@@ -447,6 +467,9 @@
         }
         let spec = job.spec.clone();
         self.teams.sub(&spec);
+        if entry.stop.is_some() {
+            self.teams.stopped(&spec);
+        }
         self.stir = true;
         self.settle(id);
         self.retire(id);
@@ -477,6 +500,17 @@
                 "usage of {}",
                 team.name
             );
+            let told = |((id, _), e): (&(JobId, u32), &Entry)| {
+                let job = self.jobs.get(id).filter(|j| j.spec.team.ix() == t)?;
+                e.stop.map(|_| job.spec.cpus)
+            };
+            let stopping: f64 =
+                self.machines.values().flat_map(|m| m.entries.iter()).filter_map(told).sum();
+            assert!(
+                (stopping - self.teams.stopping(TeamId::from(t)).cpus).abs() < 1e-6,
+                "being stopped of {}",
+                team.name
+            );
             let parts: f64 = (0..4).map(|p| self.teams.split(TeamId::from(t)).at(p).cpus).sum();
             assert!((used - parts).abs() < 1e-6, "parts of {}", team.name);
             assert!(used <= team.cpus_max + 1e-6, "limit of {}", team.name);
--- a/crates/core/src/state/teams.rs
+++ b/crates/core/src/state/teams.rs
@@ -1,7 +1,8 @@
 //! What teams use: every task that may be on a machine counts (rule `quota`).
 
 use crate::state::job::Spec;
-use crate::state::names::TeamId;
+use crate::state::names::{JobId, MachineId, TeamId};
+use copperhaven_fairness::Pair;
 use copperhaven_wire::jobs::{Precedence, Shape};
 
 /// What a team's tasks may be using: every task that may be on a machine counts.
@@ -42,11 +43,63 @@
     }
 }
 
+/// A task that could be stopped for its team's limit: what it uses, and the work in seconds that would be lost with it.
+#[derive(Debug, Clone, Copy)]
+pub struct Stoppable {
+    pub lost_s: f64,
+    pub mid: MachineId,
+    pub id: JobId,
+    pub task: u32,
+    pub attempt: u64,
+    pub uses: Usage,
+}
+
+/// Those of one class and priority of a team, the dearest first, and what they use together.
+#[derive(Debug, Clone)]
+pub struct StoppableGroup {
+    pub pair: Pair,
+    pub precedence: Precedence,
+    pub tasks: Vec<Stoppable>,
+    pub uses: Usage,
+}
+
+impl StoppableGroup {
+    /// Adds a task of this shape to the group that it belongs to.
+    pub fn add(
+        groups: &mut Vec<StoppableGroup>,
+        pair: Pair,
+        spec: &Spec,
+        (mid, id, task, attempt): (MachineId, JobId, u32, u64),
+        lost_s: f64,
+    ) {
+        let precedence = spec.precedence;
+        let same = |g: &StoppableGroup| (g.pair, g.precedence) == (pair, precedence);
+        let at = groups.iter().position(same).unwrap_or_else(|| {
+            let (tasks, uses) = (vec![], Usage::default());
+            groups.push(StoppableGroup { pair, precedence, tasks, uses });
+            groups.len() - 1
+        });
+        let uses = Usage { cpus: spec.cpus, cards: spec.cards };
+        groups[at].uses.add(spec, 1.0);
+        groups[at].tasks.push(Stoppable { lost_s, mid, id, task, attempt, uses });
+    }
+
+    /// Leaves the `n` dearest.
+    pub fn keep(&mut self, n: usize) {
+        for s in self.tasks.drain(n..) {
+            self.uses.cpus = (self.uses.cpus - s.uses.cpus).max(0.0);
+            self.uses.cards = (self.uses.cards - s.uses.cards).max(0.0);
+        }
+    }
+}
+
 /// The usage of every team, by team.
 #[derive(Debug)]
 pub struct Teams {
     usage: Vec<Usage>,
     split: Vec<Split>,
+    /// What of it belongs to tasks that were told to stop.
+    stopping: Vec<Usage>,
     /// In one placement pass: what of a team's limit is kept for a job served earlier.
     held: Vec<Usage>,
 }
@@ -56,6 +109,7 @@
         Teams {
             usage: vec![Usage::default(); teams],
             split: vec![Split::default(); teams],
+            stopping: vec![Usage::default(); teams],
             held: vec![Usage::default(); teams],
         }
     }
@@ -84,6 +138,10 @@
         self.usage.iter()
     }
 
+    pub fn stopping(&self, team: TeamId) -> Usage {
+        self.stopping[team.ix()]
+    }
+
     pub fn held(&self, team: TeamId) -> Usage {
         self.held[team.ix()]
     }
@@ -100,6 +158,16 @@
         self.split[spec.team.ix()].of(spec).sub(spec, 1.0);
     }
 
+    /// A task that counts was told to stop.
+    pub fn stop(&mut self, spec: &Spec) {
+        self.stopping[spec.team.ix()].add(spec, 1.0);
+    }
+
+    /// One that was told to stop counts no more.
+    pub fn stopped(&mut self, spec: &Spec) {
+        self.stopping[spec.team.ix()].sub(spec, 1.0);
+    }
+
     /// What `tasks` of this shape use counts under another priority from here on.
     pub fn set_precedence(&mut self, spec: &mut Spec, tasks: f64, precedence: Precedence) {
         let split = &mut self.split[spec.team.ix()];
--- a/crates/core/src/workers/reports.rs
+++ b/crates/core/src/workers/reports.rs
@@ -199,6 +199,9 @@
         e.seen = seen;
         if !open && e.stop.is_none() {
             e.stop = Some((now, 0.0));
+            if let Some(job) = self.jobs.get(&id) {
+                self.teams.stop(&job.spec);
+            }
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             if seen == Seen::Running && was != Seen::Running {
--- a/crates/core/src/workers/stops.rs
+++ b/crates/core/src/workers/stops.rs
@@ -23,8 +23,14 @@
         if let Some(e) = m.entries.get_mut(&(id, task)) {
             match e.stop {
                 Some((_, g)) if g <= grace => return,
-                _ => e.stop = Some((now, grace)),
+                Some(_) => {}
+                None => {
+                    if let Some(job) = self.jobs.get(&id) {
+                        self.teams.stop(&job.spec);
+                    }
+                }
             }
+            e.stop = Some((now, grace));
         }
         let order = Order::Halt { parcel, attempt, wind_down: grace };
         let (addr, shift) = (m.addr.clone(), m.last.0);
