--- a/crates/controller/tests/world/meetings.rs
+++ b/crates/controller/tests/world/meetings.rs
@@ -309,6 +309,20 @@
     ]
 }
 
+/// The schedule run backwards: what came last comes first.
+fn reversed(schedule: &Schedule) -> Schedule {
+    let end = schedule.iter().map(|(_, until, _)| *until).max().unwrap_or_default();
+    schedule.iter().map(|(from, until, t)| (end - until, end - from, *t)).collect()
+}
+
+/// The schedule with the end of whoever leads in the middle of it.
+fn with_an_end(schedule: &Schedule) -> Schedule {
+    let end = schedule.iter().map(|(_, until, _)| *until).max().unwrap_or_default();
+    let mut out = schedule.clone();
+    out.push((end / 2, end / 2 + 1, End(300)));
+    out
+}
+
 fn rows(from: usize, to: usize) {
     for (what, schedule) in &meetings()[from..to] {
         for controllers in [3, 5] {
@@ -325,6 +339,10 @@
             let late = schedule.iter().any(|(.., t)| *t == Late);
             assert!(!late || out.late > 5, "{what}: {out:?}");
         }
+        // In the other order, and with one more end: rules alone.
+        holds(&format!("{what}, reversed"), 3, &reversed(schedule), 8);
+        holds(&format!("{what}, and an end"), 3, &with_an_end(schedule), 9);
+        holds(&format!("{what}, reversed, and an end"), 5, &with_an_end(&reversed(schedule)), 10);
     }
 }
 
