Read once more: one module of troubles and one player of schedules in the world

Change: tests/world/troubles.rs, World::play, World::end_for; the bound is 40 again; stop_task replaces the order and counts the first; the error shows. Assertions stay, and behaviour does.

--- a/crates/controller/tests/world/known.rs
+++ b/crates/controller/tests/world/known.rs
@@ -2,27 +2,12 @@
 //! seconds once the troubles are over. Machines that are heard and don't hear, late copies of reports, controllers that
 //! have nobody but their workers, ends in the middle; alone and together.
 
-use crate::network::{Host, Mode};
-use crate::schedules::{Side, set};
+use crate::network::Mode;
+use crate::troubles::Trouble::{self, *};
+use crate::troubles::begin;
 use crate::{Outcome, World, run};
-use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
-#[derive(Debug, Clone, Copy)]
-enum Trouble {
-    /// (a) What controllers send to the machines of a zone doesn't arrive; their reports do.
-    Deaf(usize),
-    /// (b) Copies of reports, a second to three leases late.
-    Copies,
-    /// (c) Who leads when it begins, or one after it, has neither state service nor peers, but its workers.
-    Alone(usize, Mode),
-    /// Who leads by then ends, and is back after so many milliseconds.
-    End(u64),
-    AllEnd(u64),
-}
-
-use Trouble::*;
-
 struct Row {
     what: &'static str,
     controllers: usize,
@@ -96,54 +81,15 @@
     },
 ];
 
-fn begin(world: &std::sync::Arc<World>, first: usize, trouble: Trouble, on: bool) {
-    let deaf = |zone: usize| {
-        for c in 0..world.count() {
-            world.net.cut(Host::Controller(c), Host::Workers(zone), on.then_some(Mode::Hold));
-        }
-    };
-    let end = |who: Vec<usize>, back: u64| {
-        for ix in who.into_iter().filter(|_| on) {
-            world.end(ix);
-            let world = world.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_millis(back)).await;
-                world.back(ix);
-            });
-        }
-    };
-    match trouble {
-        Deaf(zone) => deaf(zone),
-        Copies => world.copies.store(on, Relaxed),
-        Alone(n, mode) => {
-            let who = (first + n) % world.count();
-            for side in [Side::State, Side::Peers] {
-                set(world, who, side, on.then_some(mode));
-            }
-        }
-        End(back) => end(vec![world.leader().unwrap_or(first)], back),
-        AllEnd(back) => end((0..world.count()).collect(), back),
-    }
-}
-
 async fn play(row: &Row, seed: u64) -> Outcome {
     let world = World::start(row.controllers, 36, seed).await;
     let mut out = Outcome::default();
     world.watch(Duration::from_secs(14), &mut Outcome::default()).await;
     let first = world.leader().expect("somebody leads by now");
     world.begin();
-    let mut events: Vec<(u64, Trouble, bool)> = vec![];
-    for (from, until, trouble) in row.troubles {
-        events.push((*from, *trouble, true));
-        events.push((*until, *trouble, false));
-    }
-    events.sort_by_key(|(at, ..)| *at);
-    let mut now = 0;
-    for (at, trouble, on) in events {
-        world.watch(Duration::from_secs(at - now), &mut out).await;
-        now = at;
-        begin(&world, first, trouble, on);
-    }
+    let troubles: Vec<(u64, u64, Trouble)> =
+        row.troubles.iter().map(|(from, until, t)| (from * 1000, until * 1000, *t)).collect();
+    world.play(&troubles, &mut out, |t, on| begin(&world, first, t, on)).await;
     world.calm();
     world.watch(Duration::from_secs(30), &mut out).await;
     world.sum(&mut out);
--- a/crates/controller/tests/world/main.rs
+++ b/crates/controller/tests/world/main.rs
@@ -12,6 +12,7 @@
 mod schedules;
 mod services;
 mod stages;
+mod troubles;
 mod workers;
 
 use copperhaven::cluster::frames::Op;
@@ -42,7 +43,6 @@
     down: Mutex<BTreeSet<usize>>,
     pub checker: Mutex<Checker>,
     users: Mutex<Users>,
-    begun: Instant,
     /// Copies of workers' reports arrive up to three leases later.
     pub copies: std::sync::atomic::AtomicBool,
     pub habits: Habits,
@@ -209,7 +209,6 @@
             checker: Mutex::new(Checker::new(habits.limit)),
             habits,
             users: Mutex::default(),
-            begun: Instant::now(),
             copies: Default::default(),
             net,
         });
@@ -241,6 +240,16 @@
         run_node(ix, node);
     }
 
+    /// It ends, and is started again after so many milliseconds.
+    pub fn end_for(self: &Arc<Self>, ix: usize, back: u64) {
+        self.end(ix);
+        let world = self.clone();
+        tokio::spawn(async move {
+            sleep(Duration::from_millis(back)).await;
+            world.back(ix);
+        });
+    }
+
     fn is_down(&self, ix: usize) -> bool {
         self.down.lock().expect("lock").contains(&ix)
     }
@@ -308,6 +317,28 @@
         }
     }
 
+    /// Watches while troubles begin and end, each from one moment to another, in milliseconds. What ends at a moment ends
+    /// before what begins then.
+    pub async fn play<T: Copy>(
+        &self,
+        troubles: &[(u64, u64, T)],
+        out: &mut Outcome,
+        mut set: impl FnMut(T, bool),
+    ) {
+        let mut events: Vec<(u64, bool, T)> = vec![];
+        for (from, until, trouble) in troubles {
+            events.push((*from, true, *trouble));
+            events.push((*until, false, *trouble));
+        }
+        events.sort_by_key(|(at, on, _)| (*at, *on));
+        let mut now = 0;
+        for (at, on, trouble) in events {
+            self.watch(Duration::from_millis(at - now), out).await;
+            now = at;
+            set(trouble, on);
+        }
+    }
+
     /// What was counted since the start.
     pub fn sum(&self, out: &mut Outcome) {
         let checker = self.checker.lock().expect("lock");
@@ -356,9 +387,7 @@
                 _ => unfinished += 1,
             }
         }
-        let lasted = Instant::now() - self.begun;
-        let least = (lasted.as_millis() / self.habits.every.as_millis() / 2) as usize;
-        assert!(accepted.len() > 40.min(least), "{} accepted", accepted.len());
+        assert!(accepted.len() > 40, "{} accepted", accepted.len());
         assert!(unfinished * 3 < accepted.len(), "{unfinished} of {} not done", accepted.len());
         let none = self.node(0).ask(Op::Show, b"wk-999999999").await;
         assert_eq!(none.status, 404, "invented");
--- a/crates/controller/tests/world/meetings.rs
+++ b/crates/controller/tests/world/meetings.rs
@@ -1,101 +1,18 @@
 //! Two troubles that meet, while users cancel (`docs/safety.md`, "Meetings"). The rules are held at the workers, moment by
 //! moment, and at the users, by each answer: nothing that the service says of itself is believed.
 
-use crate::network::{Host, Mode};
-use crate::schedules::{Side, set};
+use crate::network::Mode;
+use crate::schedules::Side;
+use crate::troubles::Trouble::{self, *};
+use crate::troubles::begin;
 use crate::{Habits, Outcome, World, run};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use std::sync::Arc;
-use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
-/// Whom a trouble hits is counted from who leads when the schedule begins: 0 is that controller.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum Trouble {
-    /// The state service answers 503 to this controller alone.
-    Refused(usize),
-    /// The controller loses the state service, the other controllers, or its workers.
-    Cut(usize, Side, Mode),
-    /// What is between this controller and the others is held in one direction only: what it hears.
-    HearsNoPeer(usize),
-    /// What the other controllers send to workers is held.
-    OnlyHeard(usize),
-    /// The state service is down for all.
-    Down,
-    /// A third of the transactions gets no answer and is carried out 2 to 12 s later.
-    Late,
-    /// The state service answers so many milliseconds late, to all.
-    Slow(u64),
-    /// What controllers send to the machines of a zone doesn't arrive; their reports do.
-    Deaf(usize),
-    /// The machines of a zone are cut from all.
-    Lost(usize),
-    /// Copies of reports arrive again, up to three leases later.
-    Copies,
-    /// Who leads by then ends, or this one, or all; back after so many milliseconds.
-    End(u64),
-    EndOf(usize, u64),
-    AllEnd(u64),
-}
-
-use Trouble::*;
-
 /// From which moment on, and until when, in milliseconds.
 type Schedule = Vec<(u64, u64, Trouble)>;
 
-fn begin(world: &Arc<World>, first: usize, trouble: Trouble, on: bool) {
-    let count = world.count();
-    let who = |n: usize| (first + n) % count;
-    let mode = |mode: Mode| on.then_some(mode);
-    let zone = |zone: usize, back: bool| {
-        for c in (0..count).map(Host::Controller) {
-            world.net.cut(c, Host::Workers(zone), mode(Mode::Hold));
-            if back {
-                world.net.cut(Host::Workers(zone), c, mode(Mode::Hold));
-            }
-        }
-    };
-    let end = |all: Vec<usize>, back: u64| {
-        for ix in all.into_iter().filter(|ix| on && !world.is_down(*ix)) {
-            world.end(ix);
-            let world = world.clone();
-            tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_millis(back)).await;
-                world.back(ix);
-            });
-        }
-    };
-    let mut store = world.store.lock().expect("lock");
-    match trouble {
-        Refused(n) if on => drop(store.refuses.insert(who(n))),
-        Refused(n) => drop(store.refuses.remove(&who(n))),
-        Down => store.set_down(on),
-        Late => store.late = if on { 33 } else { 0 },
-        _ => {}
-    }
-    drop(store);
-    match trouble {
-        Refused(_) | Down | Late => {}
-        Cut(n, side, m) => set(world, who(n), side, mode(m)),
-        HearsNoPeer(n) => (0..count).filter(|o| *o != who(n)).for_each(|o| {
-            world.net.cut(Host::Controller(o), Host::Controller(who(n)), mode(Mode::Hold));
-        }),
-        OnlyHeard(n) => (0..count)
-            .filter(|o| *o != who(n))
-            .for_each(|o| set(world, o, Side::ToWorkers, mode(Mode::Hold))),
-        Slow(ms) => {
-            (0..count).for_each(|c| set(world, c, Side::State, mode(Mode::Slow(ms))));
-        }
-        Deaf(z) => zone(z, false),
-        Lost(z) => zone(z, true),
-        Copies => world.copies.store(on, Relaxed),
-        End(back) => end(vec![world.leader().unwrap_or(first)], back),
-        EndOf(n, back) => end(vec![who(n)], back),
-        AllEnd(back) => end((0..count).collect(), back),
-    }
-}
-
 /// Long tasks, of which two of three are cancelled: left alone they would outlast any `cancel_s`. The team's limit binds.
 const HABITS: Habits = Habits {
     every: Duration::from_millis(1_700),
@@ -111,19 +28,7 @@
     world.watch(Duration::from_secs(24), &mut Outcome::default()).await;
     let first = world.leader().expect("somebody leads by now");
     world.begin();
-    let mut events: Vec<(u64, Trouble, bool)> = vec![];
-    for (from, until, trouble) in schedule {
-        events.push((*from, *trouble, true));
-        events.push((*until, *trouble, false));
-    }
-    // What ends at a moment ends before what begins then.
-    events.sort_by_key(|(at, _, on)| (*at, *on));
-    let mut now = 0;
-    for (at, trouble, on) in events {
-        world.watch(Duration::from_millis(at - now), &mut out).await;
-        now = at;
-        begin(&world, first, trouble, on);
-    }
+    world.play(schedule, &mut out, |t, on| begin(&world, first, t, on)).await;
     world.calm();
     world.watch(Duration::from_secs(40), &mut out).await;
     world.sum(&mut out);
@@ -205,8 +110,7 @@
 
 /// What each row threatens stands with it in `docs/safety.md`.
 fn meetings() -> Vec<(&'static str, Schedule)> {
-    let alone = [Cut(0, Side::State, Mode::Hold), Cut(0, Side::Peers, Mode::Hold)];
-    let alone = |until: u64| alone.map(|t| (0, until, t)).to_vec();
+    let alone = |until: u64| vec![(0, until, Alone(0, Mode::Hold))];
     let with = |mut a: Schedule, b: &[(u64, u64, Trouble)]| {
         a.extend(b);
         a
--- a/crates/controller/tests/world/returns.rs
+++ b/crates/controller/tests/world/returns.rs
@@ -116,12 +116,7 @@
             All => vec![0, 1, 2],
         };
         for ix in who {
-            world.end(ix);
-            let (world, back) = (world.clone(), row.back);
-            tokio::spawn(async move {
-                tokio::time::sleep(Duration::from_millis(back)).await;
-                world.back(ix);
-            });
+            world.end_for(ix, row.back);
         }
     }
     world.watch(Duration::from_secs(row.watch), &mut out).await;
--- a/crates/controller/tests/world/schedules.rs
+++ b/crates/controller/tests/world/schedules.rs
@@ -63,18 +63,10 @@
     let leader = world.leader().expect("somebody leads by now");
     world.begin();
     let whom = |who: Who| (leader + who as usize) % controllers;
-    let mut events: Vec<(u64, Cut, bool)> = vec![];
-    for c in cuts {
-        events.push((c.at, *c, true));
-        events.push((c.at + c.lasts, *c, false));
-    }
-    events.sort_by_key(|(at, ..)| *at);
-    let mut now = 0;
-    for (at, c, begins) in events {
-        world.watch(Duration::from_secs(at - now), &mut out).await;
-        now = at;
-        set(&world, whom(c.who), c.from, begins.then_some(c.mode));
-    }
+    let timed: Vec<(u64, u64, Cut)> =
+        cuts.iter().map(|c| (c.at * 1000, (c.at + c.lasts) * 1000, *c)).collect();
+    let apply = |c: Cut, on: bool| set(&world, whom(c.who), c.from, on.then_some(c.mode));
+    world.play(&timed, &mut out, apply).await;
     world.watch(Duration::from_secs(20), &mut out).await;
     world.sum(&mut out);
     world.settle().await;
--- a/crates/core/src/workers/stops.rs
+++ b/crates/core/src/workers/stops.rs
@@ -21,16 +21,14 @@
         let attempt = e.attempt;
         let Some(m) = self.machines.get_mut(&mid) else { return };
         if let Some(e) = m.entries.get_mut(&(id, task)) {
-            match e.stop {
-                Some((_, g)) if g <= grace => return,
-                Some(_) => {}
-                None => {
-                    if let Some(job) = self.jobs.get(&id) {
-                        self.teams.stop(&job.spec);
-                    }
-                }
+            if e.stop.is_some_and(|(_, g)| g <= grace) {
+                return;
+            }
+            if e.stop.replace((now, grace)).is_none()
+                && let Some(job) = self.jobs.get(&id)
+            {
+                self.teams.stop(&job.spec);
             }
-            e.stop = Some((now, grace));
         }
         let order = Order::Halt { parcel, attempt, wind_down: grace };
         let (addr, shift) = (m.addr.clone(), m.last.0);
