--- a/review/rig/case_answer_lost.rs
+++ b/review/rig/case_answer_lost.rs
@@ -12,7 +12,8 @@
 const REFUSED: Duration = Duration::from_secs(10);
 
 pub fn run(setup: Setup) -> Outcome {
-    let world = World::new(setup.record, sites::kigali_times(), sites::kigali_type(), sites::KIGALI);
+    let world =
+        World::new(setup.record, sites::kigali_times(), sites::kigali_type(), sites::KIGALI);
     let state = sites::kigali_state(&world);
     let cloud = world.start_cloud();
     let mut cluster = Cluster::start(&setup.root, &world, &sites::kigali(), &state.addrs, cloud);
@@ -36,7 +37,8 @@
         return Outcome::CouldNotRun("nobody leads".into());
     };
     if setup.trouble {
-        world.note(&format!("answers to the transactions of hearth-{leader} are lost from here on"));
+        world
+            .note(&format!("answers to the transactions of hearth-{leader} are lost from here on"));
         state.lose_answers(leader, ANSWERS_LOST);
     }
     let begin = Instant::now();
--- a/review/rig/case_failed_once.rs
+++ b/review/rig/case_failed_once.rs
@@ -12,7 +12,8 @@
 const LEFT_WAITING: Duration = Duration::from_secs(90);
 
 pub fn run(setup: Setup) -> Outcome {
-    let world = World::new(setup.record, sites::kigali_times(), sites::kigali_type(), sites::KIGALI);
+    let world =
+        World::new(setup.record, sites::kigali_times(), sites::kigali_type(), sites::KIGALI);
     let state = sites::kigali_state(&world);
     let cloud = world.start_cloud();
     let north = world.add_machine("kigali-north", false);
@@ -65,7 +66,9 @@
     let inner = world.lock();
     let machine = &inner.machines[north];
     if machine.gone || machine.leases_ended > 0 || !machine.tasks.is_empty() {
-        return Outcome::CouldNotRun("the machine in kigali-north was not there all the time".into());
+        return Outcome::CouldNotRun(
+            "the machine in kigali-north was not there all the time".into(),
+        );
     }
     if machine.starts > starts_before {
         return Outcome::Held("the task was started again".into());
--- a/review/rig/cluster.rs
+++ b/review/rig/cluster.rs
@@ -47,7 +47,8 @@
         state: &[SocketAddr],
         cloud: SocketAddr,
     ) -> Cluster {
-        let deploy = std::fs::read_to_string(root.join("deploy/service.toml")).expect("deploy file");
+        let deploy =
+            std::fs::read_to_string(root.join("deploy/service.toml")).expect("deploy file");
         let run = deploy.lines().find_map(|l| l.strip_prefix("run = ")).expect("run");
         let mut program: Vec<String> =
             run.trim().trim_matches('"').split_whitespace().map(String::from).collect();
@@ -77,8 +78,7 @@
             std::fs::write(folder.join(format!("hearth-{i}.toml")), text).expect("settings");
         }
         let children = (0..nodes).map(|_| None).collect();
-        let mut cluster =
-            Cluster { program, folder, children, fronts, world: world.clone() };
+        let mut cluster = Cluster { program, folder, children, fronts, world: world.clone() };
         (0..nodes).for_each(|i| cluster.spawn(i));
         world.lock().fronts = cluster.fronts.clone();
         cluster
@@ -113,9 +113,8 @@
 
     /// Controllers that have ended by themselves.
     pub fn ended(&mut self) -> Vec<usize> {
-        let ended = |c: &mut Option<Child>| {
-            c.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))))
-        };
+        let ended =
+            |c: &mut Option<Child>| c.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
         (0..self.children.len()).filter(|i| ended(&mut self.children[*i])).collect()
     }
 
@@ -131,7 +130,6 @@
         }
         false
     }
-
 }
 
 impl Drop for Cluster {
@@ -157,12 +155,18 @@
         User { world: world.clone(), next: 0 }
     }
 
-    fn ask(&mut self, method: &str, path: &str, body: Option<&Value>, limit_s: u64) -> (u16, Value) {
+    fn ask(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+        limit_s: u64,
+    ) -> (u16, Value) {
         let fronts = self.world.lock().fronts.clone();
         let front = fronts[self.next % fronts.len()];
         self.next += 1;
-        let (status, answer) =
-            call(front, method, path, body, Duration::from_secs(limit_s)).unwrap_or((0, Value::Nil));
+        let (status, answer) = call(front, method, path, body, Duration::from_secs(limit_s))
+            .unwrap_or((0, Value::Nil));
         self.world.note(&format!(
             "user -> {front}: {method} {path} {}: {status} {}",
             body.map(Value::json).unwrap_or_default(),
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -10,6 +10,7 @@
 
 mod case_answer_lost;
 mod case_failed_once;
+mod case_tiny_tasks;
 
 use std::fs::File;
 use std::path::{Path, PathBuf};
@@ -49,6 +50,7 @@
     });
     let outcome = match case.as_str() {
         "answer-lost" => case_answer_lost::run(setup),
+        "tiny-tasks" => case_tiny_tasks::run(setup),
         "failed-once" => case_failed_once::run(setup),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
--- a/review/rig/state.rs
+++ b/review/rig/state.rs
@@ -240,7 +240,8 @@
         self.last_commit = Instant::now();
         let (when, apply) = (body.get("when").list(), body.get("apply").list());
         let too_long = |key: &str| key.is_empty() || key.len() > 200 || key.contains(' ');
-        let value_too_long = apply.iter().any(|c| c.get("v").json().len() > self.limits.value_bytes);
+        let value_too_long =
+            apply.iter().any(|c| c.get("v").json().len() > self.limits.value_bytes);
         let keys = apply.iter().map(|c| c.get("put").str().to_string() + c.get("delete").str());
         let keys: Vec<String> = keys.collect();
         if apply.len() > self.limits.txn_ops
--- a/review/rig/world.rs
+++ b/review/rig/world.rs
@@ -7,7 +7,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 pub struct Times {
@@ -73,6 +73,8 @@
     pub hangs_until: Option<Instant>,
     /// Every task that the machine starts until then fails.
     pub sick_until: Option<Instant>,
+    /// The machine boots until then.
+    pub boots_until: Option<Instant>,
     pub gone: bool,
     /// The longest report so far, as sent, and the number of reports answered with 200.
     pub longest_report: usize,
@@ -93,6 +95,10 @@
     pub started: BTreeMap<String, u64>,
     pub broken: Vec<String>,
     pub limits: BTreeMap<String, f64>,
+    /// How many machines the cloud may have rented out at a time.
+    pub capacity: usize,
+    /// The machines of each rental.
+    hires: BTreeMap<String, Vec<String>>,
 }
 
 pub struct World {
@@ -121,6 +127,8 @@
                 started: BTreeMap::new(),
                 broken: vec![],
                 limits: BTreeMap::new(),
+                capacity: 0,
+                hires: BTreeMap::new(),
             }),
             begin: Instant::now(),
             record: Mutex::new(record),
@@ -160,11 +168,14 @@
 
     /// Adds a machine that is up, and starts its worker.
     pub fn add_machine(self: &Arc<World>, zone: &str, spot: bool) -> usize {
-        let index = self.lock().machines.len();
-        let world = self.clone();
-        let addr = serve(move |request| world.worker_request(index, request));
+        let own_index = Arc::new(OnceLock::new());
+        let (world, at) = (self.clone(), own_index.clone());
+        let addr = serve(move |request| world.worker_request(*at.get()?, request));
         let now = Instant::now();
-        self.lock().machines.push(Machine {
+        let mut inner = self.lock();
+        let index = inner.machines.len();
+        let _ = own_index.set(index);
+        inner.machines.push(Machine {
             name: format!("n-{:06}", 100 + index),
             zone: zone.into(),
             spot,
@@ -179,12 +190,14 @@
             token_change: None,
             hangs_until: None,
             sick_until: None,
+            boots_until: None,
             gone: false,
             longest_report: 0,
             answered_reports: 0,
             leases_ended: 0,
             starts: 0,
         });
+        drop(inner);
         let world = self.clone();
         std::thread::spawn(move || world.report_loop(index));
         index
@@ -197,7 +210,17 @@
         let mut inner = self.lock();
         for m in 0..inner.machines.len() {
             let machine = &mut inner.machines[m];
-            if machine.gone || machine.hangs_until.is_some_and(|until| now < until) {
+            if machine.gone {
+                continue;
+            }
+            if let Some(until) = machine.boots_until {
+                // A worker's first session begins when it is up.
+                machine.answered = now;
+                if now >= until {
+                    machine.boots_until = None;
+                    let name = machine.name.clone();
+                    self.note(&format!("{name} is up"));
+                }
                 continue;
             }
             if now - machine.answered > self.times.lease {
@@ -213,6 +236,9 @@
                 }
                 continue;
             }
+            if inner.machines[m].hangs_until.is_some_and(|until| now < until) {
+                continue;
+            }
             for t in 0..inner.machines[m].tasks.len() {
                 self.step(&mut inner, m, t, now);
             }
@@ -258,6 +284,12 @@
             }
             Stage::Running(end) if now >= end => {
                 inner.results.insert(task.id.clone());
+                if job.gang {
+                    // A gang completes together.
+                    for n in 0..job.tasks {
+                        inner.results.insert(format!("{uid}/{n}"));
+                    }
+                }
                 Stage::Ended("done")
             }
             _ => return,
@@ -375,9 +407,13 @@
                 if machine.gone {
                     return;
                 }
-                let due = sent >= next
-                    || (machine.changed && sent - last >= Duration::from_millis(500));
-                if !due || machine.hangs_until.is_some_and(|u| sent < u) || fronts.is_empty() {
+                let due =
+                    sent >= next || (machine.changed && sent - last >= Duration::from_millis(500));
+                if !due
+                    || machine.boots_until.is_some()
+                    || machine.hangs_until.is_some_and(|u| sent < u)
+                    || fronts.is_empty()
+                {
                     continue;
                 }
                 machine.changed = false;
@@ -497,9 +533,8 @@
                             {
                                 Stage::Ended("full")
                             } else {
-                                let pull = Duration::from_secs_f64(
-                                    j.image_gb / self.kind.fetch_gb_per_s,
-                                );
+                                let pull =
+                                    Duration::from_secs_f64(j.image_gb / self.kind.fetch_gb_per_s);
                                 let images = &mut inner.machines[index].images;
                                 Stage::Pulling(*images.entry(j.image.clone()).or_insert(now + pull))
                             }
@@ -529,14 +564,12 @@
         loop {
             let until = self.lock().machines[index].hangs_until;
             match until.filter(|u| Instant::now() < *u) {
-                Some(until) => {
-                    std::thread::sleep(until.saturating_duration_since(Instant::now()))
-                }
+                Some(until) => std::thread::sleep(until.saturating_duration_since(Instant::now())),
                 None => break,
             }
         }
         let mut inner = self.lock();
-        if inner.machines[index].gone {
+        if inner.machines[index].gone || inner.machines[index].boots_until.is_some() {
             return None;
         }
         if request.path != "/commands" {
@@ -610,7 +643,10 @@
                             ("berth", self.kind.name.into()),
                             ("yard", m.zone.as_str().into()),
                             ("loaners", m.spot.into()),
-                            ("status", "running".into()),
+                            (
+                                "status",
+                                if m.boots_until.is_some() { "booting" } else { "running" }.into(),
+                            ),
                             ("heldS", self.now_s().into()),
                         ])
                     })
@@ -619,8 +655,30 @@
             }
             ("POST", "/hosts") => {
                 let body = request.value();
-                self.note(&format!("cloud: POST /hosts {}: 503 no capacity", body.json()));
-                Some((503, map([("error", "no capacity".into())])))
+                let hire = body.get("hire").str().to_string();
+                let mut names = self.lock().hires.get(&hire).cloned().unwrap_or_default();
+                if names.is_empty() {
+                    let boot = Duration::from_secs_f64(self.kind.boot_s);
+                    for _ in 0..body.get("number").u64() {
+                        let up = self.lock().machines.iter().filter(|m| !m.gone).count();
+                        if up >= self.lock().capacity {
+                            break;
+                        }
+                        let spot = body.get("loaners") == &Value::Bool(true);
+                        let m = self.add_machine(body.get("yard").str(), spot);
+                        let mut inner = self.lock();
+                        inner.machines[m].boots_until = Some(Instant::now() + boot);
+                        names.push(inner.machines[m].name.clone());
+                    }
+                }
+                if names.is_empty() {
+                    self.note(&format!("cloud: POST /hosts {}: 503 no capacity", body.json()));
+                    return Some((503, map([("error", "no capacity".into())])));
+                }
+                self.note(&format!("cloud: POST /hosts {}: {}", body.json(), names.join(", ")));
+                self.lock().hires.insert(hire, names.clone());
+                let names: Vec<Value> = names.into_iter().map(Value::from).collect();
+                Some((200, map([("hearths", names.into())])))
             }
             ("POST", "/hosts/return") => {
                 let names: Vec<String> = request
