Review: the controllers' ports lie below those that the kernel gives to other sockets

Cause: with ten scripts at once, one run of case 3 exited with 2: two scripts had chosen the same port, and its user reached the other's controllers (a first submission was answered 200). A fault of the stand-ins, not of the project.

Change: a block of ports for each script, by its process id, below the range of ports that the kernel gives out.

--- a/review/rig/cluster.rs
+++ b/review/rig/cluster.rs
@@ -33,11 +33,24 @@
     world: Arc<World>,
 }
 
-/// Returns so many different free loopback addresses.
+/// Ports of controllers lie in blocks from here on, below those that the kernel gives to other sockets: a port that is
+/// free now would else be taken by another program before the controller listens there.
+const FIRST_PORT: u16 = 12_000;
+const BLOCK: u16 = 16;
+const BLOCKS: u16 = 1_250;
+
+/// Returns so many free loopback addresses, at most a block. Two scripts that run at once have different blocks.
 fn free_addrs(count: usize) -> Vec<SocketAddr> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect();
-    listeners.iter().map(|l| l.local_addr().expect("bound")).collect()
+    let own = (std::process::id() % u32::from(BLOCKS)) as u16;
+    for block in (0..BLOCKS).map(|n| (own + n) % BLOCKS) {
+        let first = FIRST_PORT + block * BLOCK;
+        let ports = (first..first + BLOCK).take(count);
+        let bound: Result<Vec<_>, _> = ports.map(|p| TcpListener::bind(("127.0.0.1", p))).collect();
+        if let Ok(listeners) = bound {
+            return listeners.iter().map(|l| l.local_addr().expect("bound")).collect();
+        }
+    }
+    panic!("no free block of ports");
 }
 
 impl Cluster {
