A job's status tells when only machines on which it failed have room

What was missing: a job that avoids an empty machine because a task of it failed there was told "no room on the machines it may use", like one whose machines are full.

Change: the filter on machines with failed tasks is a function of its own (`placement::avoidance`), unchanged, and a job for which only such machines have capacity waits for the reason `FailedOnMachines`.

Test: `a_job_tells_that_only_machines_on_which_it_failed_have_room`.

--- a/crates/core/src/placement/capacity.rs
+++ b/crates/core/src/placement/capacity.rs
@@ -202,7 +202,7 @@
         capacities: &[FreeCapacity],
     ) -> Vec<usize> {
         let Some(job) = self.jobs.get(&id) else { return vec![] };
-        let has_other_machines = self.machines.len() > job.failed_on.len();
+        let avoided = self.avoided_machines(job);
         let is_suspect = |s: &FreeCapacity| {
             self.machines
                 .get(&s.machine_id)
@@ -212,7 +212,7 @@
             .iter()
             .enumerate()
             .filter(|(_, s)| s.is_eligible_for(spec) && s.reserved.is_none_or(|r| r == id))
-            .filter(|(_, s)| !(has_other_machines && job.failed_on.contains_key(&s.machine_id)))
+            .filter(|(_, s)| !avoided.contains(s.machine_id))
             .filter(|(_, s)| s.fitting_tasks(spec) > 0)
             .map(|(i, s)| {
                 let pool = self.pool_index(s.zone, s.machine_type);
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Placement: ranks the open jobs, assigns their waiting tasks to machines, reserves machines for
 //! gangs and other jobs that need them, and preempts tasks for jobs that go before them.
 
+mod avoidance;
 pub mod capacity;
 pub mod gangs;
 pub mod independent_tasks;
@@ -9,6 +10,8 @@
 pub mod ranking;
 pub mod team_limits;
 
+#[cfg(test)]
+mod avoidance_tests;
 #[cfg(test)]
 mod deficit_tests;
 #[cfg(test)]
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -255,6 +255,10 @@
                     if let Some(job) = self.jobs.get_mut(&r.id) {
                         job.wait_reason = WaitReason::Stopping;
                     }
+                } else if self.has_avoided_capacity(r.id, &spec, &capacities)
+                    && let Some(job) = self.jobs.get_mut(&r.id)
+                {
+                    job.wait_reason = WaitReason::FailedOnMachines;
                 }
             } else if let Some(job) = self.jobs.get_mut(&r.id) {
                 job.waiting_for_capacity_since = 0;
--- a/crates/core/src/state/job.rs
+++ b/crates/core/src/state/job.rs
@@ -89,6 +89,8 @@
     TeamLimit,
     /// No eligible machine has enough free capacity.
     NoCapacity,
+    /// The only eligible machines with enough free capacity are those on which its tasks failed.
+    FailedOnMachines,
     /// A machine for it is booting.
     Booting,
     /// Its machine is pulling the image.
@@ -112,6 +114,9 @@
             WaitReason::Dependencies => "waits for other jobs to be done",
             WaitReason::TeamLimit => "the team's limit is reached",
             WaitReason::NoCapacity => "no room on the machines it may use",
+            WaitReason::FailedOnMachines => {
+                "only machines on which its tasks failed have room for it"
+            }
             WaitReason::Booting => "waiting for a machine to boot",
             WaitReason::Image => "waiting for its image",
             WaitReason::UnreportedMachine => {
