A job is started again on the machine on which a task of it failed once

Cause: `candidate_indices` left out every machine on which a task of the job had failed, as long as the fleet had more machines than those. It counted all machines, also those that the job may not use by zone, type or spot status, and full ones, and it forgot a failure only with the machine. The search for tasks to stop (`preempt_for_capacity`) left them out even where the fleet had no other machine.

The regression test, before the fix: 7 of its 8 rows (zone, type, spot, gang, replica, others full) are never placed in 60 s; the row without a second machine is placed at once. The test of preemption, with the old condition put back: no task is stopped in 30 s, reason NoCapacity.

Change: `LeaderState::avoided_machines` tells which machines a job avoids: those on which it failed in the last 30 s, as long as it may use another one that is up. After that they are its last choice, the one with the oldest failure first. Placement of tasks and gangs and the search for tasks to stop all ask this function.

Why it works: the wait no longer depends on machines that the job can't use, and each failure holds a job off for 30 s at most. Jobs that may use a machine with room still go there first, so a faulty machine draws no work that has somewhere else to go.

Test: `a_job_is_placed_again_on_the_machine_on_which_it_failed_once`.

--- a/crates/core/src/placement/avoidance.rs
+++ b/crates/core/src/placement/avoidance.rs
@@ -6,26 +6,60 @@
 use crate::state::names::*;
 use std::collections::HashMap;
 
+/// How long a job avoids a machine on which a task of it failed while it may use others, full or not. A job with
+/// capacity to run on may wait for 90 s at most, so this leaves time for two more attempts.
+pub(crate) const FAILED_MACHINE_AVOIDANCE_MS: u64 = 30_000;
+
 /// The machines that a job avoids for now.
 pub(crate) struct AvoidedMachines<'a> {
-    /// Number of failed tasks of the job on each machine.
-    failed_on: &'a HashMap<MachineId, u32>,
-    /// Whether the job has other machines to run on.
+    /// When a task of the job failed last on each machine.
+    failed_on: &'a HashMap<MachineId, u64>,
+    /// Whether the job may use a machine on which none of its tasks failed lately.
     has_others: bool,
+    now: u64,
 }
 
 impl AvoidedMachines<'_> {
     /// Returns whether the job avoids this machine.
     pub(crate) fn contains(&self, machine_id: MachineId) -> bool {
-        self.has_others && self.failed_on.contains_key(&machine_id)
+        self.has_others
+            && self.failed_on.get(&machine_id).is_some_and(|at| is_avoidable(*at, self.now))
+    }
+}
+
+/// Returns whether a machine on which a task failed at `failed_at` is avoided if there are others.
+fn is_avoidable(failed_at: u64, now: u64) -> bool {
+    now < failed_at + FAILED_MACHINE_AVOIDANCE_MS
+}
+
+impl Job {
+    /// Returns whether the job avoids some machine if it may use others.
+    pub(super) fn may_avoid_machines(&self, now: u64) -> bool {
+        self.failed_on.values().any(|at| is_avoidable(*at, now))
     }
 }
 
 impl LeaderState {
-    /// Returns the machines that a job avoids.
-    pub(crate) fn avoided_machines<'a>(&self, job: &'a Job) -> AvoidedMachines<'a> {
-        let has_others = self.machines.len() > job.failed_on.len();
-        AvoidedMachines { failed_on: &job.failed_on, has_others }
+    /// Returns the machines that a job avoids: those on which a task of it failed in the last
+    /// `FAILED_MACHINE_AVOIDANCE_MS`, as long as it may use another one of `capacities`. Machines that the job may
+    /// not use at all, by their type, zone or spot status, are no reason to avoid any.
+    pub(crate) fn avoided_machines<'a>(
+        &self,
+        id: JobId,
+        job: &'a Job,
+        capacities: &[FreeCapacity],
+        now: u64,
+    ) -> AvoidedMachines<'a> {
+        let failed_on = &job.failed_on;
+        let has_failed_lately =
+            |machine_id| failed_on.get(&machine_id).is_some_and(|at| is_avoidable(*at, now));
+        let has_others = job.may_avoid_machines(now)
+            && capacities.iter().any(|s| {
+                !has_failed_lately(s.machine_id)
+                    && s.is_eligible_for(&job.spec)
+                    && self.zone_headroom(id, s.zone) > 0
+            });
+        AvoidedMachines { failed_on, has_others, now }
     }
 
     /// Returns whether a task of the job would fit on a machine that the job avoids.
@@ -34,11 +68,12 @@
         id: JobId,
         spec: &JobSpec,
         capacities: &[FreeCapacity],
+        now: u64,
     ) -> bool {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.failed_on.is_empty()) else {
             return false;
         };
-        let avoided = self.avoided_machines(job);
+        let avoided = self.avoided_machines(id, job, capacities, now);
         capacities.iter().any(|s| avoided.contains(s.machine_id) && s.has_unreserved_capacity(spec))
     }
 }
--- a/crates/core/src/placement/avoidance_tests.rs
+++ b/crates/core/src/placement/avoidance_tests.rs
@@ -1,4 +1,5 @@
 use crate::for_tests::*;
+use crate::placement::avoidance::FAILED_MACHINE_AVOIDANCE_MS;
 use crate::state::job::WaitReason;
 use crate::state::leader_state::LeaderState;
 use crate::state::names::*;
@@ -93,3 +94,124 @@
     leader.run_placement_pass(FAILED_AT + 100);
     assert_eq!(leader.jobs[&id].wait_reason, WaitReason::FailedOnMachines);
 }
+
+/// Runs a placement pass as if every machine had just reported the same tasks as before.
+fn run_pass_with_recent_reports(leader: &mut LeaderState, now: u64) {
+    for machine in leader.machines.values_mut() {
+        machine.last_report_at = now;
+    }
+    leader.run_placement_pass(now);
+    leader.check_invariants();
+}
+
+#[test]
+fn a_job_is_placed_again_on_the_machine_on_which_it_failed_once() {
+    // Guards against jobs that are left waiting on the only machine with room for them because a task of theirs failed
+    // there once: the machine was avoided for ever while the fleet had any other, usable for the job or not.
+    let zone_bound: Edit = |b| (b.tasks, b.cpus, b.zone) = (1, 4.0, Some("north".into()));
+    let any_machine: Edit = |b| (b.tasks, b.cpus) = (1, 4.0);
+    /// Name, job, full and empty other machines, and for how many milliseconds the job avoids the machine.
+    type Case<'a> = (&'a str, Edit, &'a [TestMachine], &'a [TestMachine], u64);
+    let cases: [Case; 8] = [
+        (
+            "the other machine is in a zone that the job may not use",
+            zone_bound,
+            &[],
+            &[TestMachine { zone: "south", ..OTHER }],
+            0,
+        ),
+        (
+            "the other machine is of a type that the job may not use",
+            |b| (b.tasks, b.cpus, b.machine_types) = (1, 4.0, Some(vec!["big".into()])),
+            &[],
+            &[TestMachine { machine_type: "small", ..OTHER }],
+            0,
+        ),
+        (
+            "the other machine is a spot machine",
+            |b| (b.tasks, b.cpus, b.spot) = (1, 4.0, false),
+            &[],
+            &[TestMachine { spot: true, ..OTHER }],
+            0,
+        ),
+        (
+            "a gang bound to its zone",
+            |b| {
+                (b.kind, b.tasks, b.cpus, b.zone) = (JobKind::Gang, 2, 4.0, Some("north".into()));
+            },
+            &[],
+            &[TestMachine { zone: "south", ..OTHER }],
+            0,
+        ),
+        (
+            "a replica bound to its zone",
+            |b| {
+                (b.kind, b.tasks, b.cpus, b.zone, b.deadline_s) =
+                    (JobKind::Service, 1, 4.0, Some("north".into()), None);
+            },
+            &[],
+            &[TestMachine { zone: "south", ..OTHER }],
+            0,
+        ),
+        ("the other machine is full", any_machine, &[OTHER], &[], FAILED_MACHINE_AVOIDANCE_MS),
+        (
+            "all machines in the zone are full",
+            zone_bound,
+            &[OTHER, TestMachine { name: "n-3", ..OTHER }],
+            &[TestMachine { name: "n-4", zone: "south", ..OTHER }],
+            FAILED_MACHINE_AVOIDANCE_MS,
+        ),
+        ("there is no other machine", any_machine, &[], &[], 0),
+    ];
+    let mut placed = vec![];
+    for (name, edit, full, empty, _) in cases {
+        let (mut leader, id) = leader_with_failed_job(edit, full, empty);
+        let faulty = leader.machines.id_of(FAULTY.name).expect("known");
+        let placed_after = (0..=60_000).step_by(1_000).find(|after| {
+            run_pass_with_recent_reports(&mut leader, FAILED_AT + 100 + after);
+            leader.jobs[&id].waiting.is_empty()
+        });
+        let on_faulty = leader.machines[&faulty].assignments.keys().filter(|(job, _)| *job == id);
+        placed.push((name, placed_after, on_faulty.count() as u32 == leader.jobs[&id].spec.tasks));
+    }
+    let expected: Vec<_> = cases.iter().map(|(name, .., ms)| (*name, Some(*ms), true)).collect();
+    assert_eq!(placed, expected);
+}
+
+#[test]
+fn a_job_prefers_machines_on_which_it_has_not_failed() {
+    // Guards against tasks that go back to a faulty machine, on which they fail at once, while others have room.
+    let edit: Edit = |b| (b.tasks, b.cpus) = (1, 4.0);
+    for after in [100, FAILED_MACHINE_AVOIDANCE_MS + 100] {
+        let (mut leader, id) = leader_with_failed_job(edit, &[], &[OTHER]);
+        let now = FAILED_AT + after;
+        run_pass_with_recent_reports(&mut leader, now);
+        let other = leader.machines.id_of(OTHER.name).expect("known");
+        assert!(leader.machines[&other].assignments.contains_key(&(id, 0)), "after {after} ms");
+    }
+}
+
+#[test]
+fn a_job_preempts_lower_priority_work_on_the_machine_on_which_it_failed_once() {
+    // Guards against jobs of high priority that wait behind low ones for ever: the search for tasks to stop left out
+    // each machine on which the job had failed once.
+    let urgent: Edit = |b| (b.tasks, b.cpus, b.priority) = (1, 4.0, Priority::High);
+    let (mut leader, id) = leader_with_failed_job(urgent, &[OTHER], &[]);
+    let low = add_job(&mut leader, "wk-2", |b| {
+        (b.team, b.tasks, b.cpus, b.deadline_s) = ("guest".into(), 8, 4.0, None);
+    });
+    commit(&mut leader);
+    run_pass_with_recent_reports(&mut leader, FAILED_AT + 100);
+    assert_eq!(leader.jobs[&low].waiting.len(), 0, "they fill the machine");
+    for (after, reason, stopped) in
+        [(2_000, WaitReason::NoCapacity, 0), (FAILED_MACHINE_AVOIDANCE_MS, WaitReason::Stopping, 1)]
+    {
+        run_pass_with_recent_reports(&mut leader, FAILED_AT + 100 + after);
+        let preempted = leader.jobs[&low].preempted;
+        assert_eq!(
+            (leader.jobs[&id].wait_reason, preempted),
+            (reason, stopped),
+            "after {after} ms"
+        );
+    }
+}
--- a/crates/core/src/placement/capacity.rs
+++ b/crates/core/src/placement/capacity.rs
@@ -11,6 +11,26 @@
 /// Images on a machine, usually few enough to be stored inline without an allocation.
 pub type Images = SmallVec<[ImageId; 6]>;
 
+/// The order in which the machines that a job may use are tried, the smallest first; by its fields in turn.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct CandidateRank {
+    /// When a task of the job failed there last; 0 if none did.
+    failed_at: u64,
+    /// Tasks of some job failed there since its last success.
+    suspect: bool,
+    lacks_image: bool,
+    unreserved: bool,
+    /// No task of the job is routed to its pool.
+    not_routed: bool,
+    /// Price of what one task takes. The cheapest come first, so that expensive machines become free and can be
+    /// returned.
+    micro_price: i64,
+    /// The fullest come first, so that whole machines stay free for gangs.
+    free_millicpus: i64,
+    /// Index of the machine's capacity.
+    index: usize,
+}
+
 /// A machine and its free capacity.
 #[derive(Debug, Clone)]
 pub struct FreeCapacity {
@@ -191,8 +211,8 @@
         headroom
     }
 
-    /// Returns the indices of the machines that a job may use now, the best first: without recent task
-    /// failures, with its image, reserved for it, in the pools that the index routed its tasks to, the
+    /// Returns the indices of the machines that a job may use now, the best first: those on which none of its
+    /// tasks failed, or not for the longest time, without recent task failures, with its image, reserved for it, in the pools that the index routed its tasks to, the
     /// cheapest (spot machines, if it may use them, leave ordinary ones to jobs that need these), and
     /// the fullest, so that whole machines stay free for gangs.
     pub(crate) fn candidate_indices(
@@ -200,34 +220,39 @@
         id: JobId,
         spec: &JobSpec,
         capacities: &[FreeCapacity],
+        now: u64,
     ) -> Vec<usize> {
         let Some(job) = self.jobs.get(&id) else { return vec![] };
-        let avoided = self.avoided_machines(job);
+        let avoided = self.avoided_machines(id, job, capacities, now);
         let is_suspect = |s: &FreeCapacity| {
             self.machines
                 .get(&s.machine_id)
                 .is_some_and(|m| m.machine_failures > 0 || !m.suspect_failures.is_empty())
         };
-        let mut candidates: Vec<(bool, bool, bool, bool, i64, i64, usize)> = capacities
+        let mut candidates: Vec<CandidateRank> = capacities
             .iter()
             .enumerate()
             .filter(|(_, s)| s.is_eligible_for(spec) && s.reserved.is_none_or(|r| r == id))
             .filter(|(_, s)| !avoided.contains(s.machine_id))
             .filter(|(_, s)| s.fitting_tasks(spec) > 0)
-            .map(|(i, s)| {
+            .map(|(index, s)| {
                 let pool = self.pool_index(s.zone, s.machine_type);
                 let routed = job.routed_by_pool.get(pool).is_some_and(|r| *r > 0);
-                let has_image = s.images.contains(&spec.image);
-                // The cheapest first, so that expensive machines become free and can be returned.
                 let machine_type = &self.machine_types[s.machine_type.index()];
-                let price = (machine_type.price(s.spot)
-                    * self.machine_share(spec, s.machine_type)
-                    * 1e6) as i64;
-                let free_cpus = (s.cpus * 1000.0) as i64;
-                (is_suspect(s), !has_image, s.reserved.is_none(), !routed, price, free_cpus, i)
+                let price = machine_type.price(s.spot) * self.machine_share(spec, s.machine_type);
+                CandidateRank {
+                    failed_at: job.failed_on.get(&s.machine_id).copied().unwrap_or(0),
+                    suspect: is_suspect(s),
+                    lacks_image: !s.images.contains(&spec.image),
+                    unreserved: s.reserved.is_none(),
+                    not_routed: !routed,
+                    micro_price: (price * 1e6) as i64,
+                    free_millicpus: (s.cpus * 1000.0) as i64,
+                    index,
+                }
             })
             .collect();
         candidates.sort_unstable();
-        candidates.into_iter().map(|(.., i)| i).collect()
+        candidates.into_iter().map(|candidate| candidate.index).collect()
     }
 }
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -41,7 +41,7 @@
         if known_unplaceable {
             return WaitReason::NoCapacity;
         }
-        let candidates = self.candidate_indices(id, spec, capacities);
+        let candidates = self.candidate_indices(id, spec, capacities, now);
         let Some(plan) = self.plan_gang(id, spec, capacities, &candidates, need) else {
             return WaitReason::NoCapacity;
         };
--- a/crates/core/src/placement/independent_tasks.rs
+++ b/crates/core/src/placement/independent_tasks.rs
@@ -31,7 +31,7 @@
         {
             return WaitReason::TeamLimit;
         }
-        let mut candidates = self.candidate_indices(id, spec, capacities);
+        let mut candidates = self.candidate_indices(id, spec, capacities, now);
         if spec.kind == JobKind::Service {
             // Replicas go to the zone in which the job has the fewest.
             let job = &self.jobs[&id];
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -153,7 +153,7 @@
             }
             let spec = job.spec.clone();
             let need = job.waiting.len();
-            let unconstrained = job.failed_on.is_empty()
+            let unconstrained = !job.may_avoid_machines(now)
                 && !spec.one_zone
                 && !spec.spread
                 // Only earlier passes can have reserved machines for it at this point.
@@ -255,7 +255,7 @@
                     if let Some(job) = self.jobs.get_mut(&r.id) {
                         job.wait_reason = WaitReason::Stopping;
                     }
-                } else if self.has_avoided_capacity(r.id, &spec, &capacities)
+                } else if self.has_avoided_capacity(r.id, &spec, &capacities, now)
                     && let Some(job) = self.jobs.get_mut(&r.id)
                 {
                     job.wait_reason = WaitReason::FailedOnMachines;
--- a/crates/core/src/placement/preempt.rs
+++ b/crates/core/src/placement/preempt.rs
@@ -189,11 +189,12 @@
             pruning,
             eligibility_cache: RefCell::default(),
         };
+        let avoided = self.avoided_machines(ranked.id, job, capacities, now);
         let mut plans = Vec::new();
         for (i, s) in capacities.iter().enumerate() {
             let reserved = s.reserved.is_some() || own_reserved.contains(&s.machine_id);
-            let excluded = job.failed_on.contains_key(&s.machine_id)
-                || self.zone_headroom(ranked.id, s.zone) == 0;
+            let excluded =
+                avoided.contains(s.machine_id) || self.zone_headroom(ranked.id, s.zone) == 0;
             if reserved || excluded || !s.is_eligible_for(spec) {
                 continue;
             }
--- a/crates/core/src/state/job.rs
+++ b/crates/core/src/state/job.rs
@@ -188,8 +188,8 @@
     pub gang_attempt: u64,
     /// Whether the gang's current attempt has started.
     pub gang_started: bool,
-    /// Number of failed tasks of this job on each machine.
-    pub failed_on: HashMap<MachineId, u32>,
+    /// When a task of this job failed last on each machine.
+    pub failed_on: HashMap<MachineId, u64>,
     /// Number of failed tasks of this job.
     pub failures: u32,
     /// Longest run time of a failed task, in milliseconds.
--- a/crates/core/src/workers/faults.rs
+++ b/crates/core/src/workers/faults.rs
@@ -19,7 +19,7 @@
     ) {
         let has_proof_of_running = self.has_long_running_task(id, now);
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        *job.failed_on.entry(machine_id).or_insert(0) += 1;
+        job.failed_on.insert(machine_id, now);
         job.failures += 1;
         job.longest_failure_ms = job.longest_failure_ms.max(ran_ms);
         if !job.known_to_run && !has_proof_of_running && job.is_failing() && now >= job.retry_at {
