Rental plan in short functions; packing onto capacity is a module of its own

`rental_demand_and_retained` was one function of 170 lines. The capacity that a plan expects, the tasks of a job that need a machine, packing them (`fleet::planned_capacity`) and the choice of what to rent are functions now.

--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -1,17 +1,34 @@
 //! Computes which machines to rent for waiting work.
 
+use crate::fleet::planned_capacity::PlannedCapacity;
 use crate::placement::capacity::FreeCapacity;
-use crate::placement::pass::FailedSearches;
 use crate::placement::ranking::RankedJob;
 use crate::state::fleet::{OVERDUE_COST_FACTOR, RentalKind};
-use crate::state::job::{EPS, JobSpec};
+use crate::state::job::{EPS, Job, JobSpec};
 use crate::state::leader_state::LeaderState;
 use crate::state::machine::ObservedState;
 use crate::state::names::*;
 use crate::state::team_usage::{Usage, UsageByPriority};
-use copperhaven_fairness::deficit::DeficitLevel;
+use copperhaven_fairness::deficit::{DeficitLevel, Deficits};
 use copperhaven_wire::jobs::JobKind;
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, HashSet};
+
+/// Maximum number of machines that one plan rents for one job.
+const MAX_MACHINES_PER_JOB: u32 = 50;
+
+/// The zones in which nothing is rented, and the types and zones whose machines boot late.
+struct RentalZones {
+    /// By zone index: whether its machines have stopped reporting.
+    silent: Vec<bool>,
+    overdue: HashSet<(TypeId, ZoneId)>,
+}
+
+/// Machines that can be rented for a job.
+struct RentalOption {
+    kind: RentalKind,
+    machines: u32,
+    tasks_per_machine: u32,
+}
 
 impl LeaderState {
     /// Returns how many tasks of the job should run at once for it to be in time: all of them for
@@ -51,91 +68,76 @@
         self.rental_demand_and_retained(now).0
     }
 
-    /// Returns the rental demand, and the machines to retain for blocked jobs that are soon ready.
-    pub(crate) fn rental_demand_and_retained(
-        &self,
-        now: u64,
-    ) -> (Vec<(RentalKind, u32)>, HashSet<MachineId>) {
-        let mut retained = HashSet::new();
+    /// Returns the capacity of a machine of this kind without tasks.
+    fn empty_machine(&self, (type_id, zone, spot): RentalKind) -> FreeCapacity {
+        let machine_type = &self.machine_types[type_id.index()];
+        FreeCapacity {
+            machine_id: MachineId(u32::MAX),
+            machine_type: type_id,
+            zone,
+            spot,
+            cpus: machine_type.cpus,
+            gpus: machine_type.gpus,
+            mem_gb: machine_type.mem_gb,
+            images: Default::default(),
+            record_free_bytes: usize::MAX,
+            reserved: None,
+        }
+    }
+
+    /// Returns the capacity that there is without renting more, at the latest by the time a machine rented now is up.
+    fn expected_capacity(&self, min_boot_s: f64, now: u64) -> Vec<FreeCapacity> {
         // After a takeover, machines on record that have not reported yet count as capacity, too:
         // they are expected to be there.
         let mut capacities: Vec<FreeCapacity> =
             self.free_capacity(now).into_iter().chain(self.unconfirmed_capacity(now)).collect();
         for s in &mut capacities {
-            // A machine that is reserved for a job is free for it once the tasks there have
-            // stopped.
             if s.reserved.is_some() {
+                // A machine that is reserved for a job is free for it once the tasks there have
+                // stopped.
                 let machine_type = &self.machine_types[s.machine_type.index()];
                 (s.cpus, s.gpus, s.mem_gb) =
                     (machine_type.cpus, machine_type.gpus, machine_type.mem_gb);
-            }
-        }
-        let empty_machine = |(kind, zone, spot): RentalKind, id: u32| {
-            let machine_type = &self.machine_types[kind.index()];
-            FreeCapacity {
-                machine_id: MachineId(id),
-                machine_type: kind,
-                zone,
-                spot,
-                cpus: machine_type.cpus,
-                gpus: machine_type.gpus,
-                mem_gb: machine_type.mem_gb,
-                images: Default::default(),
-                record_free_bytes: usize::MAX,
-                reserved: None,
-            }
-        };
-        // Capacity that a running task is about to free is there sooner than a machine that boots.
-        let min_boot_s = self.machine_types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
-        for s in &mut capacities {
-            let Some(m) = self.machines.get(&s.machine_id).filter(|_| s.reserved.is_none()) else {
-                continue;
-            };
-            for ((id, _), assignment) in &m.assignments {
-                let Some(job) = self.jobs.get(id) else { continue };
-                let run_s =
-                    self.run_times.expected_run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
-                let ran_s = now.saturating_sub(assignment.running_since) as f64 / 1000.0;
-                let running = assignment.observed == ObservedState::Running
-                    && job.spec.kind != JobKind::Service;
-                if assignment.stop_requested.is_some() || (running && run_s - ran_s < min_boot_s) {
-                    s.release(&job.spec);
-                }
+            } else {
+                self.release_ending_tasks(s, min_boot_s, now);
             }
         }
         let silent_zones = self.silent_zones();
-        let (_, overdue) = self.overdue_boots(now);
         for b in self.viable_boots(now).into_iter().filter(|b| !silent_zones[b.zone.index()]) {
-            capacities.push(empty_machine((b.machine_type, b.zone, b.spot), u32::MAX));
+            capacities.push(self.empty_machine((b.machine_type, b.zone, b.spot)));
         }
         for r in self.fleet.rentals.values().filter(|r| !r.resolved) {
             for _ in 0..r.number {
-                capacities.push(empty_machine(r.kind, u32::MAX));
+                capacities.push(self.empty_machine(r.kind));
             }
         }
-        let mut demand: BTreeMap<RentalKind, u32> = BTreeMap::new();
-        // Demands that found no capacity. The search is skipped for jobs that need as much or more.
-        let mut failed_searches = FailedSearches::default();
-        let millicpus = |cpus: f64| (cpus * 1000.0) as i64;
-        let mut reserved_for: BTreeMap<JobId, Vec<usize>> = BTreeMap::new();
-        let mut by_free_cpus: BTreeSet<(i64, usize)> = BTreeSet::new();
-        for (i, s) in capacities.iter().enumerate() {
-            match s.reserved {
-                Some(id) => reserved_for.entry(id).or_default().push(i),
-                None => {
-                    by_free_cpus.insert((millicpus(s.cpus), i));
-                }
+        capacities
+    }
+
+    /// Adds back what tasks use that are stopping or about to end: it is there sooner than a machine that boots.
+    fn release_ending_tasks(&self, capacity: &mut FreeCapacity, min_boot_s: f64, now: u64) {
+        let Some(m) = self.machines.get(&capacity.machine_id) else { return };
+        for ((id, _), assignment) in &m.assignments {
+            let Some(job) = self.jobs.get(id) else { continue };
+            let run_s =
+                self.run_times.expected_run_s(usize::MAX, job.spec.class, job.spec.estimate_s);
+            let ran_s = now.saturating_sub(assignment.running_since) as f64 / 1000.0;
+            let running =
+                assignment.observed == ObservedState::Running && job.spec.kind != JobKind::Service;
+            if assignment.stop_requested.is_some() || (running && run_s - ran_s < min_boot_s) {
+                capacity.release(&job.spec);
             }
         }
-        for indices in reserved_for.values_mut() {
-            indices.sort_by_key(|i| millicpus(capacities[*i].cpus));
-        }
-        // By priority: a team's work of lower priority is preempted for its work of higher
-        // priority.
-        let totals = |u: &UsageByPriority| -> [Usage; 4] { std::array::from_fn(|p| u.total_at(p)) };
-        let mut used: Vec<[Usage; 4]> = self.team_usage.usages_by_priority().map(totals).collect();
-        let deficits = self.compute_deficits();
-        // Blocked jobs that are ready by the time a machine rented now is up come last.
+    }
+
+    /// Returns the jobs in the order in which they are served; blocked jobs that are ready by the time a machine
+    /// rented now is up come last.
+    fn jobs_to_pack(
+        &self,
+        deficits: &Deficits,
+        min_boot_s: f64,
+        now: u64,
+    ) -> impl Iterator<Item = RankedJob> {
         let ready_soon: Vec<RankedJob> = self
             .jobs_ready_within(min_boot_s * 0.5, now)
             .into_iter()
@@ -145,131 +147,136 @@
                 Some(RankedJob { id, guaranteed: false, team, team_underserved, class_deficit })
             })
             .collect();
-        for r in self.ranked_jobs(&deficits, now).into_iter().chain(ready_soon) {
-            let Some(job) = self.jobs.get(&r.id) else { continue };
-            let spec = &job.spec;
-            let is_blocked = !job.pending_dependencies.is_empty();
-            // Tasks that may already be on a machine whose record is unreadable need no other one.
-            if job.waiting.is_empty()
-                || now < job.retry_at
-                || self.may_be_on_unreadable_machine(job)
-            {
-                continue;
-            }
-            let team = &self.settings.deployment.teams[spec.team.index()];
-            let headroom = |max: f64, used: f64, per_task: f64| {
-                if per_task <= 0.0 { 1e6 } else { ((max - used + EPS) / per_task).floor().max(0.0) }
-            };
-            // While a team or class is underserved, work of any priority may go first. Then no work
-            // is certain to be preempted for this job, and a machine rented for it would only wait
-            // until the team's limit lets it be used. So usage of every priority counts.
-            let last_priority = if deficits.has_any() { 3 } else { spec.priority as usize };
-            let usages = &mut used[spec.team.index()][..=last_priority];
-            let cpus = usages.iter().map(|u| u.cpus).sum();
-            let gpus = usages.iter().map(|u| u.gpus).sum();
-            let max_tasks = headroom(team.cpus_max, cpus, spec.cpus).min(headroom(
-                team.gpus_max,
-                gpus,
-                spec.gpus,
-            )) as u32;
-            let failing = job.is_failing() && spec.kind != JobKind::Gang;
-            if failing && !job.placement_counts.is_empty() {
-                continue;
-            }
-            let waiting = if failing { 1 } else { job.waiting.len() };
-            let mut n = self.desired_parallelism(spec, waiting, r.guaranteed).min(max_tasks);
-            if spec.kind == JobKind::Gang && n < waiting {
-                continue;
-            }
-            let usage = &mut usages[spec.priority as usize];
-            usage.cpus += spec.cpus * f64::from(n);
-            usage.gpus += spec.gpus * f64::from(n);
-            // Machines reserved for the job come first, then the fullest that fit, so that whole
-            // machines stay free.
-            let reserved = reserved_for.get(&r.id).into_iter().flatten().copied();
-            let mut placements: Vec<(usize, u32)> = vec![];
-            let mut unplaced = n;
-            let range_start = (millicpus(spec.cpus - EPS), 0);
-            let unreserved =
-                (!failed_searches.is_unplaceable(spec)).then(|| by_free_cpus.range(range_start..));
-            let unreserved = unreserved.into_iter().flatten().map(|(_, i)| *i);
-            for i in reserved.chain(unreserved) {
-                let k = if capacities[i].is_eligible_for(spec) {
-                    capacities[i].fitting_tasks(spec).min(unplaced)
-                } else {
-                    0
-                };
-                if k > 0 {
-                    placements.push((i, k));
-                    unplaced -= k;
+        self.ranked_jobs(deficits, now).into_iter().chain(ready_soon)
+    }
+
+    /// Returns how many tasks of a job need a machine now, within its team's limit, and adds what they use to `used`,
+    /// the usage of each team by priority.
+    fn tasks_to_pack(
+        &self,
+        r: &RankedJob,
+        job: &Job,
+        any_deficit: bool,
+        used: &mut [[Usage; 4]],
+        now: u64,
+    ) -> u32 {
+        // Tasks that may already be on a machine whose record is unreadable need no other one.
+        if job.waiting.is_empty() || now < job.retry_at || self.may_be_on_unreadable_machine(job) {
+            return 0;
+        }
+        let spec = &job.spec;
+        let team = &self.settings.deployment.teams[spec.team.index()];
+        let headroom = |max: f64, used: f64, per_task: f64| {
+            if per_task <= 0.0 { 1e6 } else { ((max - used + EPS) / per_task).floor().max(0.0) }
+        };
+        // While a team or class is underserved, work of any priority may go first. Then no work
+        // is certain to be preempted for this job, and a machine rented for it would only wait
+        // until the team's limit lets it be used. So usage of every priority counts.
+        let last_priority = if any_deficit { 3 } else { spec.priority as usize };
+        let usages = &mut used[spec.team.index()][..=last_priority];
+        let cpus = usages.iter().map(|u| u.cpus).sum();
+        let gpus = usages.iter().map(|u| u.gpus).sum();
+        let max_tasks =
+            headroom(team.cpus_max, cpus, spec.cpus).min(headroom(team.gpus_max, gpus, spec.gpus))
+                as u32;
+        let failing = job.is_failing() && spec.kind != JobKind::Gang;
+        if failing && !job.placement_counts.is_empty() {
+            return 0;
+        }
+        let waiting = if failing { 1 } else { job.waiting.len() };
+        let tasks = self.desired_parallelism(spec, waiting, r.guaranteed).min(max_tasks);
+        if spec.kind == JobKind::Gang && tasks < waiting {
+            return 0;
+        }
+        let usage = &mut usages[spec.priority as usize];
+        usage.cpus += spec.cpus * f64::from(tasks);
+        usage.gpus += spec.gpus * f64::from(tasks);
+        tasks
+    }
+
+    /// Returns the cheapest machines to rent for `tasks` tasks of a job, or none if the cloud offers none for now.
+    /// Of kinds of one price, the one of which the fewest are planned is chosen.
+    fn cheapest_rental(
+        &self,
+        job: &Job,
+        tasks: u32,
+        zones: &RentalZones,
+        demand: &BTreeMap<RentalKind, u32>,
+        now: u64,
+    ) -> Option<RentalOption> {
+        let spec = &job.spec;
+        let mut best: Option<(f64, usize, RentalOption)> = None;
+        for type_id in &spec.machine_types {
+            let machine_type = &self.machine_types[type_id.index()];
+            for zone in &machine_type.zones {
+                if spec.zone.is_some_and(|z| z != *zone) || zones.silent[zone.index()] {
+                    continue;
                 }
-                if unplaced == 0 {
-                    break;
+                for spot in [true, false] {
+                    let kind = (*type_id, *zone, spot);
+                    if (spot && !spec.spot) || self.fleet.is_backing_off(&kind, now) {
+                        continue;
+                    }
+                    if !spot && self.should_rent_spot_only(spec, job.eligible_mono_ms, now) {
+                        continue;
+                    }
+                    let tasks_per_machine = self.empty_machine(kind).fitting_tasks(spec).max(1);
+                    let machines = tasks.div_ceil(tasks_per_machine);
+                    let overdue = zones.overdue.contains(&(*type_id, *zone));
+                    let cost_factor = if overdue { OVERDUE_COST_FACTOR } else { 1.0 };
+                    let price =
+                        f64::from(machines) * machine_type.price(spot).max(1e-6) * cost_factor;
+                    let planned = demand.get(&kind).copied().unwrap_or(0) as usize;
+                    if best.as_ref().is_none_or(|(p, b, _)| (price, planned) < (*p, *b)) {
+                        let option = RentalOption { kind, machines, tasks_per_machine };
+                        best = Some((price, planned, option));
+                    }
                 }
             }
-            if placements.is_empty() && n > 0 {
-                failed_searches.record_max_tasks(spec, 0);
+        }
+        best.map(|(.., option)| option)
+    }
+
+    /// Returns the rental demand, and the machines to retain for blocked jobs that are soon ready.
+    pub(crate) fn rental_demand_and_retained(
+        &self,
+        now: u64,
+    ) -> (Vec<(RentalKind, u32)>, HashSet<MachineId>) {
+        let mut retained = HashSet::new();
+        let mut demand: BTreeMap<RentalKind, u32> = BTreeMap::new();
+        let min_boot_s = self.machine_types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
+        let mut capacity = PlannedCapacity::new(self.expected_capacity(min_boot_s, now));
+        let zones = RentalZones { silent: self.silent_zones(), overdue: self.overdue_boots(now).1 };
+        // By priority: a team's work of lower priority is preempted for its work of higher
+        // priority.
+        let totals = |u: &UsageByPriority| -> [Usage; 4] { std::array::from_fn(|p| u.total_at(p)) };
+        let mut used: Vec<[Usage; 4]> = self.team_usage.usages_by_priority().map(totals).collect();
+        let deficits = self.compute_deficits();
+        for r in self.jobs_to_pack(&deficits, min_boot_s, now) {
+            let Some(job) = self.jobs.get(&r.id) else { continue };
+            let tasks = self.tasks_to_pack(&r, job, deficits.has_any(), &mut used, now);
+            if tasks == 0 {
+                continue;
             }
-            for (i, k) in placements {
-                let before = (millicpus(capacities[i].cpus), i);
-                capacities[i].allocate(spec, k);
-                if by_free_cpus.remove(&before) {
-                    by_free_cpus.insert((millicpus(capacities[i].cpus), i));
-                }
-                if is_blocked {
-                    retained.insert(capacities[i].machine_id);
-                }
+            let packed = capacity.pack(r.id, &job.spec, tasks);
+            if !job.pending_dependencies.is_empty() {
+                retained.extend(packed.machine_ids);
             }
-            n = unplaced;
-            if n == 0 {
+            let mut unplaced = packed.unplaced;
+            if unplaced == 0 {
                 continue;
             }
-            let mut best: Option<(f64, usize, RentalKind, u32, u32)> = None;
-            for type_id in &spec.machine_types {
-                let machine_type = &self.machine_types[type_id.index()];
-                for zone in &machine_type.zones {
-                    if spec.zone.is_some_and(|z| z != *zone) || silent_zones[zone.index()] {
-                        continue;
-                    }
-                    for spot in [true, false] {
-                        let rental_kind = (*type_id, *zone, spot);
-                        if (spot && !spec.spot) || self.fleet.is_backing_off(&rental_kind, now) {
-                            continue;
-                        }
-                        if !spot && self.should_rent_spot_only(spec, job.eligible_mono_ms, now) {
-                            continue;
-                        }
-                        let tasks_per_machine =
-                            empty_machine(rental_kind, 0).fitting_tasks(spec).max(1);
-                        let machines = n.div_ceil(tasks_per_machine);
-                        let cost_factor = if overdue.contains(&(*type_id, *zone)) {
-                            OVERDUE_COST_FACTOR
-                        } else {
-                            1.0
-                        };
-                        let price =
-                            f64::from(machines) * machine_type.price(spot).max(1e-6) * cost_factor;
-                        let planned = demand.get(&rental_kind).copied().unwrap_or(0) as usize;
-                        if best.is_none_or(|(p, b, ..)| (price, planned) < (p, b)) {
-                            best = Some((price, planned, rental_kind, machines, tasks_per_machine));
-                        }
-                    }
-                }
-            }
-            if let Some((_, _, rental_kind, machines, tasks_per_machine)) = best {
-                let machines = machines.min(50);
-                *demand.entry(rental_kind).or_insert(0) += machines;
-                for _ in 0..machines {
-                    let mut s = empty_machine(rental_kind, u32::MAX);
-                    let k = tasks_per_machine.min(n);
-                    s.allocate(spec, k);
-                    n -= k;
-                    by_free_cpus.insert((millicpus(s.cpus), capacities.len()));
-                    capacities.push(s);
-                }
-                // The new machines may have capacity left, so that searches that failed may succeed
-                // now.
-                failed_searches = FailedSearches::default();
+            let Some(option) = self.cheapest_rental(job, unplaced, &zones, &demand, now) else {
+                continue;
+            };
+            let machines = option.machines.min(MAX_MACHINES_PER_JOB);
+            *demand.entry(option.kind).or_insert(0) += machines;
+            for _ in 0..machines {
+                let mut machine = self.empty_machine(option.kind);
+                let tasks = option.tasks_per_machine.min(unplaced);
+                machine.allocate(&job.spec, tasks);
+                unplaced -= tasks;
+                capacity.add_machine(machine);
             }
         }
         (demand.into_iter().collect(), retained)
