A second machine is rented for a job that failed on the only one it may use

What callers saw: a job fails again and again on the only machine of its zone, as long as that is faulty, while the cloud has others.

Cause: a rental plan counted the room on the machine on which the job had just failed as room for the job, and left out jobs that were backing off.

Change: a machine on which alone the job failed, lately or so that it is backing off, is no capacity for it in a rental plan, and the plan includes it during the backoff. After failures on two machines the job may be at fault itself, so at most one machine is rented for a job submitted with a mistake.

Evidence: `a_second_machine_is_rented_for_a_job_that_failed_on_one` failed before the change (nothing rented).

--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -160,8 +160,11 @@
         used: &mut [[Usage; 4]],
         now: u64,
     ) -> u32 {
+        // A job that backs off because it failed on one machine needs another one meanwhile.
+        let backs_off =
+            now < job.retry_at && !(job.is_failing() && job.suspected_machine(now).is_some());
         // Tasks that may already be on a machine whose record is unreadable need no other one.
-        if job.waiting.is_empty() || now < job.retry_at || self.may_be_on_unreadable_machine(job) {
+        if job.waiting.is_empty() || backs_off || self.may_be_on_unreadable_machine(job) {
             return 0;
         }
         let spec = &job.spec;
@@ -258,7 +261,7 @@
             if tasks == 0 {
                 continue;
             }
-            let packed = capacity.pack(r.id, &job.spec, tasks);
+            let packed = capacity.pack(r.id, &job.spec, tasks, job.suspected_machine(now));
             if !job.pending_dependencies.is_empty() {
                 retained.extend(packed.machine_ids);
             }
--- a/crates/core/src/fleet/planned_capacity.rs
+++ b/crates/core/src/fleet/planned_capacity.rs
@@ -51,8 +51,14 @@
     }
 
     /// Packs up to `tasks` tasks of a job onto capacity: first machines reserved for it, then the fullest that fit, so
-    /// that whole machines stay free.
-    pub(super) fn pack(&mut self, id: JobId, spec: &Arc<JobSpec>, tasks: u32) -> Packed {
+    /// that whole machines stay free. `excluded` is no capacity for the job.
+    pub(super) fn pack(
+        &mut self,
+        id: JobId,
+        spec: &Arc<JobSpec>,
+        tasks: u32,
+        excluded: Option<MachineId>,
+    ) -> Packed {
         let mut unplaced = tasks;
         let mut placements: Vec<(usize, u32)> = vec![];
         let reserved = self.reserved_for.get(&id).into_iter().flatten().copied();
@@ -62,7 +68,7 @@
         let unreserved = unreserved.into_iter().flatten().map(|(_, i)| *i);
         for i in reserved.chain(unreserved) {
             let capacity = &self.capacities[i];
-            if !capacity.is_eligible_for(spec) {
+            if !capacity.is_eligible_for(spec) || excluded == Some(capacity.machine_id) {
                 continue;
             }
             let fitting = capacity.fitting_tasks(spec).min(unplaced);
@@ -74,7 +80,7 @@
                 break;
             }
         }
-        if placements.is_empty() && tasks > 0 {
+        if placements.is_empty() && tasks > 0 && excluded.is_none() {
             self.failed_searches.record_max_tasks(spec, 0);
         }
         let machine_ids = placements.iter().map(|(i, _)| self.capacities[*i].machine_id).collect();
--- a/crates/core/src/fleet/tests.rs
+++ b/crates/core/src/fleet/tests.rs
@@ -1,3 +1,4 @@
+use crate::for_tests::*;
 use crate::state::fleet::*;
 use crate::state::leader_state::LeaderState;
 use crate::state::names::*;
@@ -116,3 +117,38 @@
     assert!(leader.take_due_rentals(1500, 9).is_empty());
     assert_eq!(leader.take_due_rentals(2000, 9)[0].0, "r-7-1");
 }
+
+#[test]
+fn a_second_machine_is_rented_for_a_job_that_failed_on_one() {
+    // Guards against jobs that are only ever tried on one faulty machine: its room counted as room for the job, also
+    // while the job was backing off from it, so no other was rented.
+    let failed_in_north = |failures: u32, others_failed: &[MachineId]| {
+        let mut leader = sample_leader();
+        let id = add_job(&mut leader, "wk-1", |b| {
+            (b.tasks, b.cpus, b.zone) = (1, 4.0, Some("north".into()));
+        });
+        commit(&mut leader);
+        exchange_report(&mut leader, &report(1, 1, TERM, &[]), START_MS);
+        for n in 0..failures {
+            let machine_id = leader.machines.id_of("n-1").expect("known");
+            let attempt = leader.machines[&machine_id].assignments[&(id, 0)].attempt;
+            let sequence = u64::from(2 + 2 * n);
+            let now = START_MS + 100 + u64::from(n);
+            leader
+                .on_report(&report(1, sequence, TERM, &[("wk-1/0", attempt, "ended:error")]), now);
+            if n + 1 < failures {
+                exchange_report(&mut leader, &report(1, sequence + 1, TERM, &[]), now);
+            }
+        }
+        for machine_id in others_failed {
+            leader.jobs.get_mut(&id).expect("there").failed_on.insert(*machine_id, START_MS);
+        }
+        leader.rental_demand(START_MS + 200)
+    };
+    let one_in_north: Vec<_> = [((TypeId(0), ZoneId(0), true), 1)].into_iter().collect();
+    assert_eq!(failed_in_north(1, &[]), one_in_north, "after a failure");
+    assert_eq!(failed_in_north(3, &[]), one_in_north, "while it backs off");
+    // A job that failed on two machines may be at fault itself: nothing is rented for it while they have room.
+    assert_eq!(failed_in_north(1, &[MachineId(77)]), []);
+    assert_eq!(failed_in_north(3, &[MachineId(77)]), []);
+}
--- a/crates/core/src/placement/avoidance.rs
+++ b/crates/core/src/placement/avoidance.rs
@@ -37,6 +37,15 @@
     pub(super) fn may_avoid_machines(&self, now: u64) -> bool {
         self.failed_on.values().any(|at| is_avoidable(*at, now))
     }
+
+    /// Returns the only machine on which tasks of the job failed, if that was lately or the job is still backing off
+    /// from it: the job should be tried on a second one. Once it has failed on two, the job itself may be at fault.
+    pub(crate) fn suspected_machine(&self, now: u64) -> Option<MachineId> {
+        let mut failed_on = self.failed_on.iter();
+        let (machine_id, failed_at) = failed_on.next()?;
+        let suspected = is_avoidable(*failed_at, now) || now < self.retry_at;
+        (suspected && failed_on.next().is_none()).then_some(*machine_id)
+    }
 }
 
 impl LeaderState {
