Rental plans keep to the zones that a job may use, as placement does

By reading: gangs and arrays of one zone whose tasks fit only in several zones together wait without a machine being rented.

A rental plan looked at type, zone and spot status only, not at the zones of the job's other tasks; and machines for a spread job were planned in one zone, where only half of its tasks can run.

Change: `ZoneLimits` holds the rule once for placement, gangs and rental plans. A plan chooses the zone of a job that wants one: with capacity for all tasks, else where the rest costs least. A spread job's machines are planned zone by zone.

--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -1,8 +1,9 @@
 //! Computes which machines to rent for waiting work.
 
-use crate::fleet::planned_capacity::PlannedCapacity;
+use crate::fleet::planned_capacity::{PackRequest, PlannedCapacity};
 use crate::placement::capacity::FreeCapacity;
 use crate::placement::ranking::RankedJob;
+use crate::placement::zone_limits::ZoneLimits;
 use crate::state::fleet::{OVERDUE_COST_FACTOR, RentalKind};
 use crate::state::job::{EPS, Job, JobSpec};
 use crate::state::leader_state::LeaderState;
@@ -16,11 +17,17 @@
 /// Maximum number of machines that one plan rents for one job.
 const MAX_MACHINES_PER_JOB: u32 = 50;
 
-/// The zones in which nothing is rented, and the types and zones whose machines boot late.
-struct RentalZones {
-    /// By zone index: whether its machines have stopped reporting.
-    silent: Vec<bool>,
-    overdue: HashSet<(TypeId, ZoneId)>,
+/// A rental plan in the making.
+struct RentalPlan {
+    capacity: PlannedCapacity,
+    /// By zone index: whether its machines have stopped reporting. Nothing is rented there.
+    silent_zones: Vec<bool>,
+    /// The types and zones whose machines boot late.
+    overdue_pools: HashSet<(TypeId, ZoneId)>,
+    /// How many machines of each kind to rent.
+    demand: BTreeMap<RentalKind, u32>,
+    /// Machines to retain for blocked jobs that are soon ready.
+    retained: HashSet<MachineId>,
 }
 
 /// Machines that can be rented for a job.
@@ -197,14 +204,13 @@
         tasks
     }
 
-    /// Returns the cheapest machines to rent for `tasks` tasks of a job, or none if the cloud offers none for now.
-    /// Of kinds of one price, the one of which the fewest are planned is chosen.
+    /// Returns the cheapest machines to rent in one zone for a job, `tasks_in` the zone of its tasks, or none if the
+    /// cloud offers none for now. Of kinds of one price, the one of which the fewest are planned is chosen.
     fn cheapest_rental(
         &self,
         job: &Job,
-        tasks: u32,
-        zones: &RentalZones,
-        demand: &BTreeMap<RentalKind, u32>,
+        tasks_in: impl Fn(ZoneId) -> u32,
+        plan: &RentalPlan,
         now: u64,
     ) -> Option<RentalOption> {
         let spec = &job.spec;
@@ -212,7 +218,11 @@
         for type_id in &spec.machine_types {
             let machine_type = &self.machine_types[type_id.index()];
             for zone in &machine_type.zones {
-                if spec.zone.is_some_and(|z| z != *zone) || zones.silent[zone.index()] {
+                if spec.zone.is_some_and(|z| z != *zone) || plan.silent_zones[zone.index()] {
+                    continue;
+                }
+                let tasks = tasks_in(*zone);
+                if tasks == 0 {
                     continue;
                 }
                 for spot in [true, false] {
@@ -225,11 +235,15 @@
                     }
                     let tasks_per_machine = self.empty_machine(kind).fitting_tasks(spec).max(1);
                     let machines = tasks.div_ceil(tasks_per_machine);
-                    let overdue = zones.overdue.contains(&(*type_id, *zone));
+                    let overdue = plan.overdue_pools.contains(&(*type_id, *zone));
                     let cost_factor = if overdue { OVERDUE_COST_FACTOR } else { 1.0 };
-                    let price =
+                    let mut price =
                         f64::from(machines) * machine_type.price(spot).max(1e-6) * cost_factor;
-                    let planned = demand.get(&kind).copied().unwrap_or(0) as usize;
+                    if spec.spread {
+                        // Zones may run different numbers of its tasks.
+                        price /= f64::from(tasks);
+                    }
+                    let planned = plan.demand.get(&kind).copied().unwrap_or(0) as usize;
                     if best.as_ref().is_none_or(|(p, b, _)| (price, planned) < (*p, *b)) {
                         let option = RentalOption { kind, machines, tasks_per_machine };
                         best = Some((price, planned, option));
@@ -240,16 +254,75 @@
         best.map(|(.., option)| option)
     }
 
+    /// Returns the zone for a job that wants one and has no task yet: one with capacity for all of its tasks, else the
+    /// one in which the rest costs least, else the one with most capacity.
+    fn choose_zone(
+        &self,
+        job: &Job,
+        request: &PackRequest,
+        plan: &RentalPlan,
+        now: u64,
+    ) -> Option<ZoneId> {
+        let fitting = plan.capacity.fitting_by_zone(request, self.names.zones.len());
+        let (zone, max_fitting) =
+            fitting.iter().enumerate().rev().max_by_key(|(_, tasks)| **tasks)?;
+        if *max_fitting >= request.tasks {
+            return Some(ZoneId::from(zone));
+        }
+        let unplaced_in = |zone: ZoneId| request.tasks - fitting[zone.index()];
+        let rental = self.cheapest_rental(job, unplaced_in, plan, now);
+        let most_capacity = || (*max_fitting > 0).then(|| ZoneId::from(zone));
+        rental.map(|option| option.kind.1).or_else(most_capacity)
+    }
+
+    /// Packs the tasks of a job onto capacity, and plans rentals for the rest: in one zone, or in several for a job
+    /// that is to be spread.
+    fn plan_job(&self, job: &Job, request: &PackRequest, plan: &mut RentalPlan, now: u64) {
+        let mut zone_limits = ZoneLimits::of(job);
+        if zone_limits.is_zone_open()
+            && let Some(zone) = self.choose_zone(job, request, plan, now)
+        {
+            zone_limits.choose_zone(zone);
+        }
+        let packed = plan.capacity.pack(request, &mut zone_limits);
+        if !job.pending_dependencies.is_empty() {
+            plan.retained.extend(packed.machine_ids);
+        }
+        let mut unplaced = packed.unplaced;
+        while unplaced > 0 {
+            let tasks_in = |zone| unplaced.min(zone_limits.headroom(zone));
+            let Some(option) = self.cheapest_rental(job, tasks_in, plan, now) else { return };
+            let mut tasks = tasks_in(option.kind.1);
+            let machines = option.machines.min(MAX_MACHINES_PER_JOB);
+            *plan.demand.entry(option.kind).or_insert(0) += machines;
+            for _ in 0..machines {
+                let mut machine = self.empty_machine(option.kind);
+                let packed = option.tasks_per_machine.min(tasks);
+                machine.allocate(&job.spec, packed);
+                zone_limits.add(option.kind.1, packed);
+                tasks -= packed;
+                unplaced -= packed;
+                plan.capacity.add_machine(machine);
+            }
+            if !job.spec.spread {
+                return;
+            }
+        }
+    }
+
     /// Returns the rental demand, and the machines to retain for blocked jobs that are soon ready.
     pub(crate) fn rental_demand_and_retained(
         &self,
         now: u64,
     ) -> (Vec<(RentalKind, u32)>, HashSet<MachineId>) {
-        let mut retained = HashSet::new();
-        let mut demand: BTreeMap<RentalKind, u32> = BTreeMap::new();
         let min_boot_s = self.machine_types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
-        let mut capacity = PlannedCapacity::new(self.expected_capacity(min_boot_s, now));
-        let zones = RentalZones { silent: self.silent_zones(), overdue: self.overdue_boots(now).1 };
+        let mut plan = RentalPlan {
+            capacity: PlannedCapacity::new(self.expected_capacity(min_boot_s, now)),
+            silent_zones: self.silent_zones(),
+            overdue_pools: self.overdue_boots(now).1,
+            demand: BTreeMap::new(),
+            retained: HashSet::new(),
+        };
         // By priority: a team's work of lower priority is preempted for its work of higher
         // priority.
         let totals = |u: &UsageByPriority| -> [Usage; 4] { std::array::from_fn(|p| u.total_at(p)) };
@@ -258,30 +331,12 @@
         for r in self.jobs_to_pack(&deficits, min_boot_s, now) {
             let Some(job) = self.jobs.get(&r.id) else { continue };
             let tasks = self.tasks_to_pack(&r, job, deficits.has_any(), &mut used, now);
-            if tasks == 0 {
-                continue;
-            }
-            let packed = capacity.pack(r.id, &job.spec, tasks, job.suspected_machine(now));
-            if !job.pending_dependencies.is_empty() {
-                retained.extend(packed.machine_ids);
-            }
-            let mut unplaced = packed.unplaced;
-            if unplaced == 0 {
-                continue;
-            }
-            let Some(option) = self.cheapest_rental(job, unplaced, &zones, &demand, now) else {
-                continue;
-            };
-            let machines = option.machines.min(MAX_MACHINES_PER_JOB);
-            *demand.entry(option.kind).or_insert(0) += machines;
-            for _ in 0..machines {
-                let mut machine = self.empty_machine(option.kind);
-                let tasks = option.tasks_per_machine.min(unplaced);
-                machine.allocate(&job.spec, tasks);
-                unplaced -= tasks;
-                capacity.add_machine(machine);
+            if tasks > 0 {
+                let excluded = job.suspected_machine(now);
+                let request = PackRequest { job: r.id, spec: &job.spec, tasks, excluded };
+                self.plan_job(job, &request, &mut plan, now);
             }
         }
-        (demand.into_iter().collect(), retained)
+        (plan.demand.into_iter().collect(), plan.retained)
     }
 }
--- a/crates/core/src/fleet/mod.rs
+++ b/crates/core/src/fleet/mod.rs
@@ -8,3 +8,5 @@
 
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod zone_tests;
--- a/crates/core/src/placement/capacity.rs
+++ b/crates/core/src/placement/capacity.rs
@@ -1,5 +1,6 @@
 //! Free capacity of machines, and which machines a job may use.
 
+use crate::placement::zone_limits;
 use crate::state::job::{EPS, JobSpec};
 use crate::state::leader_state::LeaderState;
 use crate::state::machine;
@@ -192,23 +193,10 @@
         self.unconfirmed_capacity(now).map(|s| s.unreserved_fitting_tasks(spec)).sum()
     }
 
-    /// Returns how many more tasks of the job a zone may run: unlimited, unless the job wants one zone or to be spread
-    /// over zones, with at most half of its tasks in each.
+    /// Returns how many more tasks of the job a zone may run (`ZoneLimits::headroom`).
     pub(crate) fn zone_headroom(&self, id: JobId, zone: ZoneId) -> u32 {
         let Some(job) = self.jobs.get(&id) else { return 0 };
-        let mut headroom = u32::MAX;
-        if job.spec.one_zone {
-            let elsewhere =
-                job.placements_by_zone.iter().enumerate().any(|(z, n)| z != zone.index() && *n > 0);
-            if elsewhere {
-                return 0;
-            }
-        }
-        if job.spec.spread {
-            let half = job.spec.tasks.div_ceil(2);
-            headroom = headroom.min(half.saturating_sub(job.placements_by_zone[zone.index()]));
-        }
-        headroom
+        zone_limits::headroom(&job.spec, &job.placements_by_zone, zone)
     }
 
     /// Returns the indices of the machines that a job may use now, the best first: those on which none of its
--- a/crates/core/src/placement/gangs.rs
+++ b/crates/core/src/placement/gangs.rs
@@ -1,11 +1,12 @@
 //! Gang placement: all waiting tasks of a gang at once, or none.
 
 use crate::placement::capacity::FreeCapacity;
+use crate::placement::zone_limits::ZoneLimits;
 use crate::state::job::{JobSpec, WaitReason};
 use crate::state::leader_state::LeaderState;
 use crate::state::machine::RESERVATION_MS;
 use crate::state::names::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 impl LeaderState {
     /// Places all waiting tasks of a gang at once if they fit, and returns why the gang waits. Its limit is
@@ -117,17 +118,16 @@
         for group in groups {
             let mut remaining = need;
             let mut plan = vec![];
-            let mut planned_by_zone: HashMap<ZoneId, u32> = HashMap::new();
+            let mut zone_limits = ZoneLimits::of(&self.jobs[&id]);
             for i in group {
                 let zone = capacities[*i].zone;
-                let planned = planned_by_zone.entry(zone).or_insert(0);
                 let n = capacities[*i]
                     .fitting_tasks(spec)
                     .min(remaining)
-                    .min(self.zone_headroom(id, zone).saturating_sub(*planned));
+                    .min(zone_limits.headroom(zone));
                 if n > 0 {
                     plan.push((*i, n));
-                    *planned += n;
+                    zone_limits.add(zone, n);
                     remaining -= n;
                 }
                 if remaining == 0 {
--- a/crates/core/src/placement/mod.rs
+++ b/crates/core/src/placement/mod.rs
@@ -9,6 +9,7 @@
 pub mod preempt;
 pub mod ranking;
 pub mod team_limits;
+pub(crate) mod zone_limits;
 
 #[cfg(test)]
 mod avoidance_tests;
