A silent zone is probed for a job that may use no other zone

Cause: in a zone whose machines have all stopped nothing is rented but a probe every 45 s, and that only if other work lacked machines. A job bound to the zone is left out of the plan, so it could not bring about the probe.

Change: a rental plan names the silent zones that jobs need for which no machine can be rented elsewhere, and these are probed. Silent zones that no job needs are still left alone.

Evidence: `a_silent_zone_is_probed_for_a_job_that_may_use_no_other` failed before the change (no probe). Tests of copperhaven-core: all pass.

--- a/crates/core/src/boot_tracking.rs
+++ b/crates/core/src/boot_tracking.rs
@@ -104,14 +104,19 @@
         self.fleet.overdue_boots = n;
     }
 
-    /// Returns a rental of one machine of the cheapest type in a silent zone that is due for a probe: a
-    /// report from the machine shows that the zone is reachable again.
-    pub(crate) fn probe_silent_zone(&mut self, now: u64) -> Option<(RentalKind, u32)> {
+    /// Returns a rental of one machine of the cheapest type in a silent zone of `may_probe` that is due for a
+    /// probe: a report from the machine shows that the zone is reachable again.
+    pub(crate) fn probe_silent_zone(
+        &mut self,
+        may_probe: impl Fn(ZoneId) -> bool,
+        now: u64,
+    ) -> Option<(RentalKind, u32)> {
         let (zone, _) = self
             .fleet
             .silent_zones
             .iter()
             .map(|(zone, (_, last_probe_at))| (*zone, *last_probe_at))
+            .filter(|(zone, _)| may_probe(*zone))
             .find(|(_, last_probe_at)| now > last_probe_at + SILENT_ZONE_PROBE_INTERVAL_MS)?;
         let cheapest = |a: &usize, b: &usize| {
             self.machine_types[*a].hourly_price.total_cmp(&self.machine_types[*b].hourly_price)
--- a/crates/core/src/fleet/demand.rs
+++ b/crates/core/src/fleet/demand.rs
@@ -12,11 +12,22 @@
 use crate::state::team_usage::{Usage, UsageByPriority};
 use copperhaven_fairness::deficit::{DeficitLevel, Deficits};
 use copperhaven_wire::jobs::JobKind;
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 /// Maximum number of machines that one plan rents for one job.
 const MAX_MACHINES_PER_JOB: u32 = 50;
 
+/// What waiting work needs that is not there.
+#[derive(Default)]
+pub(crate) struct RentalDemand {
+    /// How many machines of each kind to rent.
+    pub(crate) machines: BTreeMap<RentalKind, u32>,
+    /// Machines to retain for blocked jobs that are soon ready.
+    pub(crate) retained: HashSet<MachineId>,
+    /// Silent zones that jobs could use for which no machine can be rented elsewhere.
+    pub(crate) silent_zones: BTreeSet<ZoneId>,
+}
+
 /// A rental plan in the making.
 struct RentalPlan {
     capacity: PlannedCapacity,
@@ -24,10 +35,7 @@
     silent_zones: Vec<bool>,
     /// The types and zones whose machines boot late.
     overdue_pools: HashSet<(TypeId, ZoneId)>,
-    /// How many machines of each kind to rent.
-    demand: BTreeMap<RentalKind, u32>,
-    /// Machines to retain for blocked jobs that are soon ready.
-    retained: HashSet<MachineId>,
+    demand: RentalDemand,
 }
 
 /// Machines that can be rented for a job.
@@ -72,7 +80,7 @@
     /// booting and already requested machines in the order in which it is served; for what remains,
     /// the cheapest machines that fit it are chosen.
     pub fn rental_demand(&self, now: u64) -> Vec<(RentalKind, u32)> {
-        self.rental_demand_and_retained(now).0
+        self.compute_rental_demand(now).machines.into_iter().collect()
     }
 
     /// Returns the capacity of a machine of this kind without tasks.
@@ -243,7 +251,7 @@
                         // Zones may run different numbers of its tasks.
                         price /= f64::from(tasks);
                     }
-                    let planned = plan.demand.get(&kind).copied().unwrap_or(0) as usize;
+                    let planned = plan.demand.machines.get(&kind).copied().unwrap_or(0) as usize;
                     if best.as_ref().is_none_or(|(p, b, _)| (price, planned) < (*p, *b)) {
                         let option = RentalOption { kind, machines, tasks_per_machine };
                         best = Some((price, planned, option));
@@ -286,15 +294,19 @@
         }
         let packed = plan.capacity.pack(request, &mut zone_limits);
         if !job.pending_dependencies.is_empty() {
-            plan.retained.extend(packed.machine_ids);
+            plan.demand.retained.extend(packed.machine_ids);
         }
         let mut unplaced = packed.unplaced;
         while unplaced > 0 {
             let tasks_in = |zone| unplaced.min(zone_limits.headroom(zone));
-            let Some(option) = self.cheapest_rental(job, tasks_in, plan, now) else { return };
+            let Some(option) = self.cheapest_rental(job, tasks_in, plan, now) else {
+                let is_needed = |z: &ZoneId| plan.silent_zones[z.index()] && tasks_in(*z) > 0;
+                plan.demand.silent_zones.extend(self.rental_zones(&job.spec).filter(is_needed));
+                return;
+            };
             let mut tasks = tasks_in(option.kind.1);
             let machines = option.machines.min(MAX_MACHINES_PER_JOB);
-            *plan.demand.entry(option.kind).or_insert(0) += machines;
+            *plan.demand.machines.entry(option.kind).or_insert(0) += machines;
             for _ in 0..machines {
                 let mut machine = self.empty_machine(option.kind);
                 let packed = option.tasks_per_machine.min(tasks);
@@ -310,18 +322,21 @@
         }
     }
 
-    /// Returns the rental demand, and the machines to retain for blocked jobs that are soon ready.
-    pub(crate) fn rental_demand_and_retained(
-        &self,
-        now: u64,
-    ) -> (Vec<(RentalKind, u32)>, HashSet<MachineId>) {
+    /// Returns the zones in which the cloud offers machines that the job may use.
+    fn rental_zones(&self, spec: &JobSpec) -> impl Iterator<Item = ZoneId> {
+        let zones =
+            spec.machine_types.iter().flat_map(|t| &self.machine_types[t.index()].zones).copied();
+        zones.filter(|zone| spec.zone.is_none_or(|z| z == *zone))
+    }
+
+    /// Returns what waiting work needs that is not there; see `rental_demand`.
+    pub(crate) fn compute_rental_demand(&self, now: u64) -> RentalDemand {
         let min_boot_s = self.machine_types.iter().map(|t| t.boot_s).fold(f64::MAX, f64::min);
         let mut plan = RentalPlan {
             capacity: PlannedCapacity::new(self.expected_capacity(min_boot_s, now)),
             silent_zones: self.silent_zones(),
             overdue_pools: self.overdue_boots(now).1,
-            demand: BTreeMap::new(),
-            retained: HashSet::new(),
+            demand: RentalDemand::default(),
         };
         // By priority: a team's work of lower priority is preempted for its work of higher
         // priority.
@@ -337,6 +352,6 @@
                 self.plan_job(job, &request, &mut plan, now);
             }
         }
-        (plan.demand.into_iter().collect(), plan.retained)
+        plan.demand
     }
 }
--- a/crates/core/src/fleet/rentals.rs
+++ b/crates/core/src/fleet/rentals.rs
@@ -2,7 +2,7 @@
 //! is sent to the cloud.
 
 use crate::records::RentalRecord;
-use crate::state::fleet::{Booting, Rental};
+use crate::state::fleet::{Booting, Rental, RentalKind};
 use crate::state::leader_state::LeaderState;
 use crate::state::write_queue::RecordKey;
 use copperhaven_wire::cloud::Host;
@@ -16,13 +16,16 @@
         if self.fleet.rentals.len() >= 8 || self.fleet.provided_machines.is_none() {
             return;
         }
-        let (mut wanted, retained) = self.rental_demand_and_retained(now);
-        self.fleet.retained_machines = retained;
-        if !wanted.is_empty() {
-            wanted.extend(self.probe_silent_zone(now));
-        } else {
+        let demand = self.compute_rental_demand(now);
+        self.fleet.retained_machines = demand.retained;
+        let mut wanted: Vec<(RentalKind, u32)> = demand.machines.into_iter().collect();
+        // Where work lacks machines in general, every silent zone may help.
+        let lacks_machines = !wanted.is_empty();
+        if !lacks_machines {
             wanted.extend(self.standing_rental(now));
         }
+        let may_probe = |zone| lacks_machines || demand.silent_zones.contains(&zone);
+        wanted.extend(self.probe_silent_zone(may_probe, now));
         for (kind, number) in wanted {
             let unresolved = self.fleet.rentals.values().any(|r| r.kind == kind && !r.resolved);
             if unresolved || self.fleet.rentals.len() >= 8 {
--- a/crates/core/src/fleet/zone_tests.rs
+++ b/crates/core/src/fleet/zone_tests.rs
@@ -1,5 +1,6 @@
 use crate::for_tests::*;
 use crate::state::fleet::RentalKind;
+use crate::state::leader_state::LeaderState;
 use crate::state::names::*;
 use copperhaven_wire::jobs::{JobBody, JobKind};
 use copperhaven_wire::workers::Report;
@@ -94,3 +95,41 @@
     let expected: Vec<_> = cases.iter().map(|(name, .., zones)| (*name, zones.to_vec())).collect();
     assert_eq!(planned, expected);
 }
+
+#[test]
+fn a_silent_zone_is_probed_for_a_job_that_may_use_no_other() {
+    // Guards against jobs bound to a zone whose machines have all stopped: nothing was rented there, not even a probe,
+    // unless other work lacked machines as well.
+    let mut leader = sample_leader();
+    leader.fleet.provided_machines = Some(0);
+    let north = |b: &mut JobBody| b.zone = Some("north".into());
+    for (n, zone) in [(1, "north"), (2, "north"), (3, "south")] {
+        leader.on_report(&report_of(n, "big", zone), START_MS);
+    }
+    let probes = |leader: &mut LeaderState, now: u64| -> Vec<(ZoneId, u32)> {
+        leader.fleet.rentals.clear();
+        leader.plan_rentals(now);
+        leader.fleet.rentals.values().map(|r| (r.kind.1, r.number)).collect()
+    };
+    let silent_at = START_MS + 60_000;
+    let south_reports = |leader: &mut LeaderState, now: u64| {
+        let machine_id = leader.machines.id_of("n-3").expect("known");
+        leader.machines.get_mut(&machine_id).expect("there").last_report_at = now;
+    };
+    south_reports(&mut leader, silent_at);
+    leader.update_silent_zones(&[SOUTH], silent_at);
+    assert_eq!(leader.silent_zones(), [true, false]);
+    assert_eq!(probes(&mut leader, silent_at + 50_000), [], "no job needs the zone");
+    add_job(&mut leader, "wk-1", north);
+    commit(&mut leader);
+    assert_eq!(probes(&mut leader, silent_at + 10_000), [], "the zone has just become silent");
+    assert_eq!(probes(&mut leader, silent_at + 50_000), [(NORTH, 1)]);
+    assert_eq!(probes(&mut leader, silent_at + 60_000), [], "one probe in 45 s");
+    assert_eq!(probes(&mut leader, silent_at + 100_000), [(NORTH, 1)]);
+    // A job that may use the other zone needs no probe.
+    leader.cancel(leader.job("wk-1").expect("there").0, silent_at + 100_000);
+    add_job(&mut leader, "wk-2", |b| b.tasks = 1);
+    commit(&mut leader);
+    south_reports(&mut leader, silent_at + 150_000);
+    assert_eq!(probes(&mut leader, silent_at + 150_000), []);
+}
