No task is stopped for the team's limit in favour of a job that can't be placed

What callers would see: a team at its limit loses tasks of lower priority to a job that is not started for them.

Cause: for the team's limit tasks are stopped if some machine has room for the job. That room was counted on machines that the job avoids because it failed there, and in zones that its other tasks leave it no part of.

Change: the question is `has_usable_capacity`, which asks for avoided machines and zones as placement does.

--- a/crates/core/src/placement/avoidance.rs
+++ b/crates/core/src/placement/avoidance.rs
@@ -71,6 +71,24 @@
         AvoidedMachines { failed_on, has_others, now }
     }
 
+    /// Returns whether a task of the job could be placed now on a machine that is not reserved: one that the job does
+    /// not avoid, in a zone that its other tasks leave it.
+    pub(super) fn has_usable_capacity(
+        &self,
+        id: JobId,
+        spec: &JobSpec,
+        capacities: &[FreeCapacity],
+        now: u64,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let avoided = self.avoided_machines(id, job, capacities, now);
+        capacities.iter().any(|s| {
+            s.has_unreserved_capacity(spec)
+                && !avoided.contains(s.machine_id)
+                && self.zone_headroom(id, s.zone) > 0
+        })
+    }
+
     /// Returns whether a task of the job would fit on a machine that the job avoids.
     pub(crate) fn has_avoided_capacity(
         &self,
--- a/crates/core/src/placement/avoidance_tests.rs
+++ b/crates/core/src/placement/avoidance_tests.rs
@@ -215,3 +215,28 @@
         );
     }
 }
+
+#[test]
+fn no_task_is_stopped_for_the_team_limit_while_the_job_avoids_the_only_machine_with_room() {
+    // Guards against a team's tasks that are stopped again and again for a job of the same team that can't be placed.
+    let urgent: Edit = |b| {
+        (b.tasks, b.cpus, b.priority, b.zone) = (1, 4.0, Priority::High, Some("north".into()));
+    };
+    let (mut leader, id) = leader_with_failed_job(urgent, &[OTHER], &[]);
+    let low = add_job(&mut leader, "wk-2", |b| {
+        (b.tasks, b.cpus, b.mem_gb, b.zone) = (64, 1.0, 1.0, Some("south".into()));
+    });
+    commit(&mut leader);
+    for name in ["n-5", "n-6"] {
+        let machine = TestMachine { name, zone: "south", ..OTHER };
+        exchange_report(&mut leader, &report_of(machine, 1, &[]), FAILED_AT + 100);
+    }
+    assert_eq!(leader.jobs[&low].waiting.len(), 0, "the team is at its limit of 64 CPUs");
+    for after in (1_000..FAILED_MACHINE_AVOIDANCE_MS).step_by(1_000) {
+        run_pass_with_recent_reports(&mut leader, FAILED_AT + after);
+        assert_eq!(leader.jobs[&low].preempted, 0, "after {after} ms");
+    }
+    run_pass_with_recent_reports(&mut leader, FAILED_AT + FAILED_MACHINE_AVOIDANCE_MS + 1_000);
+    assert_eq!(leader.jobs[&low].preempted, 4, "4 CPUs, once the machine may be used");
+    assert_eq!(leader.jobs[&id].wait_reason, WaitReason::Stopping);
+}
--- a/crates/core/src/placement/pass.rs
+++ b/crates/core/src/placement/pass.rs
@@ -202,7 +202,7 @@
                     self.reserve_team_limit(r.id, &spec);
                 } else if !gang
                     && !skip_search
-                    && capacities.iter().any(|s| s.has_unreserved_capacity(&spec))
+                    && self.has_usable_capacity(r.id, &spec, &capacities, now)
                 {
                     let found = self.preempt_for_team_limit(r.id, &spec, now);
                     if let Some(job) = self.jobs.get_mut(&r.id) {
