Stand-ins of the tests of several controllers are a crate of their own

The emulated workers, users, cloud, state service and network of crates/controller/tests/world move to crates/testbed, which is not published, so that a test on real processes can use the same protocol logic. The tests and their bounds stay as they are; the stand-ins' assertions move with them.

--- a/crates/controller/tests/world/answers.rs
+++ b/crates/controller/tests/world/answers.rs
@@ -3,14 +3,14 @@
 //! answers of the state service are lost, one kind of transaction at a time or at random, and writers end before they
 //! get an answer.
 
-use crate::faults::Fault::*;
-use crate::network::LinkFault;
 use crate::scenes::{DEFAULT_BEHAVIOR, Scene, Schedule};
-use crate::schedules::Side;
-use crate::triggers::Action::{self, *};
-use crate::triggers::FaultTrigger;
-use crate::triggers::RequestKind::{self, *};
-use crate::users::UserBehavior;
+use copperhaven_testbed::faults::Fault::*;
+use copperhaven_testbed::links::Side;
+use copperhaven_testbed::network::LinkFault;
+use copperhaven_testbed::triggers::Action::{self, *};
+use copperhaven_testbed::triggers::FaultTrigger;
+use copperhaven_testbed::triggers::RequestKind::{self, *};
+use copperhaven_testbed::users::UserBehavior;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
--- a/crates/controller/tests/world/known_jobs.rs
+++ b/crates/controller/tests/world/known_jobs.rs
@@ -2,10 +2,10 @@
 //! are over. The failures are unresponsive machines that still report, late copies of reports, controllers that reach
 //! only their workers and users, and ends of leaders during these; one at a time and combined.
 
-use crate::faults::Fault::{self, *};
-use crate::faults::set_fault;
-use crate::network::LinkFault;
-use crate::{Outcome, World, run};
+use copperhaven_testbed::faults::Fault::{self, *};
+use copperhaven_testbed::faults::set_fault;
+use copperhaven_testbed::network::LinkFault;
+use copperhaven_testbed::world::{Outcome, World, run};
 use std::time::Duration;
 
 struct Row {
--- a/crates/controller/tests/world/machines.rs
+++ b/crates/controller/tests/world/machines.rs
@@ -3,14 +3,14 @@
 //! Each row runs with three and five controllers, with its schedule reversed, and with an end of the leader halfway
 //! through.
 
-use crate::faults::Fault::*;
-use crate::network::LinkFault;
 use crate::scenes::{DEFAULT_BEHAVIOR, Scene, Schedule, reversed, with_an_end};
-use crate::schedules::Side;
-use crate::triggers::Action::{self, *};
-use crate::triggers::FaultTrigger;
-use crate::triggers::RequestKind::{self, *};
-use crate::users::{Mix, UserBehavior};
+use copperhaven_testbed::faults::Fault::*;
+use copperhaven_testbed::links::Side;
+use copperhaven_testbed::network::LinkFault;
+use copperhaven_testbed::triggers::Action::{self, *};
+use copperhaven_testbed::triggers::FaultTrigger;
+use copperhaven_testbed::triggers::RequestKind::{self, *};
+use copperhaven_testbed::users::{Mix, UserBehavior};
 use std::time::Duration;
 
 struct Row {
--- a/crates/controller/tests/world/overlapping_faults.rs
+++ b/crates/controller/tests/world/overlapping_faults.rs
@@ -1,13 +1,13 @@
 //! Two failures that overlap while users cancel jobs (`docs/safety.md`, "Meetings"). The safety rules are checked at
 //! the workers at every step and at the users on every answer, never by what the service reports about itself.
 
-use crate::faults::Fault::{self, *};
-use crate::faults::set_fault;
-use crate::network::LinkFault;
 use crate::scenes::{Schedule, reversed, with_an_end};
-use crate::schedules::Side;
-use crate::users::{Mix, UserBehavior};
-use crate::{Outcome, World, run};
+use copperhaven_testbed::faults::Fault::{self, *};
+use copperhaven_testbed::faults::set_fault;
+use copperhaven_testbed::links::Side;
+use copperhaven_testbed::network::LinkFault;
+use copperhaven_testbed::users::{Mix, UserBehavior};
+use copperhaven_testbed::world::{Outcome, World, run};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
--- a/crates/controller/tests/world/random_scenes.rs
+++ b/crates/controller/tests/world/random_scenes.rs
@@ -1,13 +1,13 @@
 //! Random scenes: two to four overlapping failures and up to two triggers, with a random mix of users and machines.
 
-use crate::faults::Fault::{self, *};
-use crate::network::LinkFault;
 use crate::scenes::{DEFAULT_BEHAVIOR, Scene, Schedule};
-use crate::schedules::Side;
-use crate::triggers::Action::{self, *};
-use crate::triggers::FaultTrigger;
-use crate::triggers::RequestKind::{self, *};
-use crate::users::{Mix, UserBehavior};
+use copperhaven_testbed::faults::Fault::{self, *};
+use copperhaven_testbed::links::Side;
+use copperhaven_testbed::network::LinkFault;
+use copperhaven_testbed::triggers::Action::{self, *};
+use copperhaven_testbed::triggers::FaultTrigger;
+use copperhaven_testbed::triggers::RequestKind::{self, *};
+use copperhaven_testbed::users::{Mix, UserBehavior};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::time::Duration;
--- a/crates/controller/tests/world/restarts.rs
+++ b/crates/controller/tests/world/restarts.rs
@@ -2,11 +2,12 @@
 //! meanwhile. The leader key of a process that has ended delays the next election no longer than the process takes to
 //! restart.
 
-use crate::network::{Host, LinkFault};
-use crate::{Outcome, World, cut_both_ways, run};
 use copperhaven::leadership;
 use copperhaven::node::Node;
 use copperhaven::peers;
+use copperhaven_testbed::links::cut_both_ways;
+use copperhaven_testbed::network::{Host, LinkFault};
+use copperhaven_testbed::world::{Outcome, World, run};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -205,7 +206,12 @@
         world.watch(Duration::from_secs(14), &mut Outcome::default()).await;
         world.reset_measurements();
         let first = world.leader().expect("no leader after 14 s");
-        let settings = crate::settings(3, first, &world.zones, world.behavior.max_team_cpus);
+        let settings = copperhaven_testbed::world::settings(
+            3,
+            first,
+            &world.zones,
+            world.behavior.max_team_cpus,
+        );
         let twin = Arc::new(Node::with_net(world.net.process_net(Host::Controller(9)), settings));
         peers::maintain_links(&twin);
         tokio::spawn(leadership::run(twin.clone()));
--- a/crates/controller/tests/world/scenes.rs
+++ b/crates/controller/tests/world/scenes.rs
@@ -1,10 +1,10 @@
 //! A scene: a world with users, workers and controllers in which a schedule of failures is played and triggers are set,
 //! and what must hold afterwards.
 
-use crate::faults::{Fault, set_fault};
-use crate::triggers::FaultTrigger;
-use crate::users::{Mix, UserBehavior};
-use crate::{Outcome, World, run};
+use copperhaven_testbed::faults::{Fault, set_fault};
+use copperhaven_testbed::triggers::FaultTrigger;
+use copperhaven_testbed::users::{Mix, UserBehavior};
+use copperhaven_testbed::world::{Outcome, World, run};
 use std::time::Duration;
 
 /// Failures with their start and end, in milliseconds from the start of the schedule.
--- a/crates/controller/tests/world/schedules.rs
+++ b/crates/controller/tests/world/schedules.rs
@@ -1,25 +1,12 @@
 //! Tables of link cuts, and what must keep working during each: no task is killed by an expired lease, and submissions
 //! are answered within seconds.
 
-use crate::network::{Host, LinkFault};
-use crate::{Outcome, World, cut_both_ways, run};
+use copperhaven_testbed::links::{Side, cut_both_ways, set_links};
+use copperhaven_testbed::network::{Host, LinkFault};
+use copperhaven_testbed::world::{Outcome, World, run};
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The links of a controller that are cut.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Side {
-    State,
-    Workers,
-    Peers,
-    Cloud,
-    Users,
-    /// Only from the controller to its workers.
-    ToWorkers,
-    /// Only from the workers to the controller.
-    FromWorkers,
-}
-
 /// The controller whose links are cut: the leader at the start of the schedule, the next by index, or the one after.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Target {
@@ -41,23 +28,6 @@
     Cut { start_s, duration_s, target, side, mode }
 }
 
-/// Cuts these links of a controller, or makes them whole again without a mode.
-pub(super) fn set_links(world: &World, controller: usize, side: Side, mode: Option<LinkFault>) {
-    let (net, host) = (&world.net, Host::Controller(controller));
-    let zones = 0..world.zones.len();
-    match side {
-        Side::State => cut_both_ways(net, host, Host::State, mode),
-        Side::Cloud => cut_both_ways(net, host, Host::Cloud, mode),
-        Side::Users => cut_both_ways(net, host, Host::Users, mode),
-        Side::Workers => zones.for_each(|zone| cut_both_ways(net, host, Host::Workers(zone), mode)),
-        Side::ToWorkers => zones.for_each(|zone| net.cut(host, Host::Workers(zone), mode)),
-        Side::FromWorkers => zones.for_each(|zone| net.cut(Host::Workers(zone), host, mode)),
-        Side::Peers => (0..world.count()).filter(|peer| *peer != controller).for_each(|peer| {
-            cut_both_ways(net, host, Host::Controller(peer), mode);
-        }),
-    }
-}
-
 /// Plays the cuts from 14 s after the start on, then checks that all accepted jobs finish.
 async fn play(cuts: &[Cut], controllers: usize, seed: u64) -> Outcome {
     let world = World::start(controllers, 36, seed).await;
--- a/crates/controller/tests/world/stages.rs
+++ b/crates/controller/tests/world/stages.rs
@@ -1,8 +1,9 @@
 //! Packs (one stored value with the assignments of several machines) are enabled once all controllers have recorded the
 //! ability, and not before. Assignments then move into packs while controllers end and restart.
 
-use crate::network::{Host, LinkFault};
-use crate::{Outcome, World, cut_both_ways, run};
+use copperhaven_testbed::links::cut_both_ways;
+use copperhaven_testbed::network::{Host, LinkFault};
+use copperhaven_testbed::world::{Outcome, World, run};
 use std::time::Duration;
 
 /// Returns the number of keys with this prefix at the state service.
--- a/crates/controller/tests/world/cloud.rs
+++ b/crates/testbed/src/cloud.rs
@@ -1,10 +1,10 @@
 //! An emulated cloud that speaks the cloud protocol: rented machines boot within seconds, late or never, and the
 //! machine list lags behind.
 
-use crate::World;
 use crate::network::{Host, Network};
 use crate::services::{CLOUD, serve};
 use crate::workers::{self, CPUS, MACHINE_TYPE, Worker};
+use crate::world::World;
 use copperhaven_wire::cloud::WireMachineType;
 use serde::Deserialize;
 use serde_json::{Value, json};
--- a/crates/controller/tests/world/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -1,10 +1,11 @@
 //! Faults of controllers, the state service, the cloud, workers and links that schedules can inject.
 
+use crate::links::cut_both_ways;
+use crate::links::{Side, set_links};
 use crate::network::{Host, LinkFault};
-use crate::schedules::{Side, set_links};
 use crate::triggers::{Action, FaultTrigger, RequestKind};
 use crate::workers::break_gangs;
-use crate::{World, cut_both_ways};
+use crate::world::World;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 /// A fault. Its controllers are counted from the one that leads when the schedule begins: 0 is that controller, 1 the
 /// next by index.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum Fault {
+pub enum Fault {
     /// The state service answers 503 to this controller alone.
     StateRefused(usize),
     /// The links of this controller on one side are cut, for instance those to the state service, to the other
@@ -67,7 +68,7 @@
 use Fault::*;
 
 /// Begins a fault, or ends it if `on` is false. `first` is the controller that led when the schedule began.
-pub(super) fn set_fault(world: &Arc<World>, first: usize, trouble: Fault, on: bool) {
+pub fn set_fault(world: &Arc<World>, first: usize, trouble: Fault, on: bool) {
     let count = world.count();
     let controller = |n: usize| (first + n) % count;
     let mode = |mode: LinkFault| on.then_some(mode);
--- a/crates/controller/tests/world/services.rs
+++ b/crates/testbed/src/services.rs
@@ -1,8 +1,8 @@
 //! An emulated state service that speaks the state protocol, and the HTTP server that all emulated services use.
 
-use crate::World;
 use crate::network::{Host, Network};
 use crate::triggers::RequestHandling;
+use crate::world::World;
 use copperhaven_wire::encode;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -16,7 +16,7 @@
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
-use tokio::io::DuplexStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::time::{Instant, sleep};
 
 /// Address of the state service.
@@ -25,12 +25,12 @@
 pub const CLOUD: &str = "cloud:1";
 
 /// HTTP status and body of an answer.
-type Answer = (u16, Value);
+pub type Answer = (u16, Value);
 
 /// Serves HTTP on a connection. `answer` turns method, path and body into status and value; with `None`, the request is
 /// never answered.
 pub fn serve(
-    io: DuplexStream,
+    io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
     answer: impl Fn(&str, &str, &[u8]) -> Option<Answer> + Send + Sync + 'static,
 ) {
     let answer = Arc::new(answer);
@@ -147,7 +147,7 @@
     }
 
     /// Carries out a request and returns its answer.
-    fn answer(&mut self, method: &str, path: &str, body: &[u8]) -> Answer {
+    pub fn answer(&mut self, method: &str, path: &str, body: &[u8]) -> Answer {
         if self.down {
             return (503, json!({}));
         }
--- a/crates/controller/tests/world/triggers.rs
+++ b/crates/testbed/src/triggers.rs
@@ -1,9 +1,9 @@
 //! Fault injection by request: recognizes what a controller sends to the state service (`RequestKind`) and applies a fault
 //! (`Action`) at exactly that request. Faults at a critical step so come about in each run, not by chance.
 
-use crate::World;
+use crate::links::{Side, set_links};
 use crate::network::{Host, LinkFault};
-use crate::schedules::{Side, set_links};
+use crate::world::World;
 use copperhaven::cluster::frames::Op;
 use serde_json::Value;
 use std::sync::Arc;
--- a/crates/controller/tests/world/users.rs
+++ b/crates/testbed/src/users.rs
@@ -4,8 +4,8 @@
 //! of queries to all controllers within milliseconds. Each answer is checked against all answers that had arrived
 //! before its request was sent.
 
-use crate::World;
 use crate::network::Host;
+use crate::world::World;
 use copperhaven::cluster::frames::Op;
 use copperhaven::reply::Reply;
 use copperhaven_core::for_tests;
--- a/crates/controller/tests/world/workers.rs
+++ b/crates/testbed/src/workers.rs
@@ -3,10 +3,10 @@
 //! Covers sessions, terms, leases, one report in flight at a time, image pulls, gangs, and machines that hang for a
 //! while and then continue.
 
-use crate::World;
 use crate::checker::{Place, split_task_id};
 use crate::network::Host;
 use crate::services::serve;
+use crate::world::World;
 use copperhaven::cluster::frames::Op;
 use copperhaven_wire::encode;
 use copperhaven_wire::jobs::JobKind;
