--- a/crates/controller/tests/world/random_scenes.rs
+++ b/crates/controller/tests/world/random_scenes.rs
@@ -1,9 +1,8 @@
 //! Random scenes: two to four overlapping failures and up to two triggers, with a random mix of users and machines.
 
 use crate::scenes::{DEFAULT_BEHAVIOR, Scene, Schedule};
-use copperhaven_testbed::faults::Fault::{self, *};
-use copperhaven_testbed::links::Side;
-use copperhaven_testbed::network::LinkFault;
+use copperhaven_testbed::faults::Fault::*;
+use copperhaven_testbed::random_faults::{pick, random_fault};
 use copperhaven_testbed::triggers::Action::{self, *};
 use copperhaven_testbed::triggers::FaultTrigger;
 use copperhaven_testbed::triggers::RequestKind::{self, *};
@@ -16,39 +15,6 @@
 const MOMENTS: [RequestKind; 8] =
     [Election, JobsRead, Acceptance, Cancellation, FinalRecord, Assignments, FinishedTasks, Rental];
 
-fn pick<T: Copy>(rng: &mut StdRng, choices: &[T]) -> T {
-    choices[rng.random_range(0..choices.len())]
-}
-
-fn random_trouble(rng: &mut StdRng) -> Fault {
-    let n = rng.random_range(0..3);
-    let mode = pick(rng, &[LinkFault::Hold, LinkFault::Refuse]);
-    let back = pick(rng, &[50, 300, 8_000, 20_000]);
-    let hang = rng.random_range(0..25_000);
-    match rng.random_range(0..24) {
-        0 | 1 => StateRefused(n),
-        2 => Cut(n, Side::State, mode),
-        3 => Cut(n, Side::Peers, mode),
-        4 => Cut(n, Side::Workers, mode),
-        5 => Cut(n, Side::ToWorkers, pick(rng, &[LinkFault::Hold, LinkFault::Slow(3_500)])),
-        6 => CutFromPeers(n),
-        7 => Down,
-        8 => LateTransactions,
-        9 | 10 => LostAnswers,
-        11 => UnresponsiveZone(n),
-        12 => LateReportCopies,
-        13 => SilentZone(n),
-        14 => Hang(hang),
-        15 | 16 => CancelNow(rng.random_range(4..16), hang),
-        17 => ReportsKeptForNextLeader,
-        18 => IsolatedZone(n, rng.random_range(0..3)),
-        19 => CutOff(n),
-        20 => Slow(rng.random_range(50..600)),
-        21 => AllEnd(back),
-        _ => End(back),
-    }
-}
-
 fn random_trigger(rng: &mut StdRng) -> FaultTrigger {
     let time = rng.random_range(500..40_000);
     let back = pick(rng, &[50, 300, 8_000]);
@@ -71,7 +37,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut schedule: Schedule = vec![];
     for i in 0..rng.random_range(2..5) {
-        let trouble = random_trouble(&mut rng);
+        let trouble = random_fault(&mut rng);
         let from = if i == 0 { 0 } else { rng.random_range(0..25_000) };
         let lasts = match trouble {
             End(_) | AllEnd(_) | CancelNow(..) | Hang(_) => 1,
--- a/crates/controller/tests/world/scenes.rs
+++ b/crates/controller/tests/world/scenes.rs
@@ -86,7 +86,7 @@
         // Users count a job as forgotten after 75 s.
         assert!(out.unanswered <= Duration::from_secs(20), "{name}: {out:?}");
         println!(
-            "{name}: answers {} and {} deferred, killed {}, cancelled {} and ran on for {:.1} s, started after that {}, unanswered {:.1} s, idle {:.1} s, changes {}, triggers sprung {}, transactions without answer {}, invalid jobs rejected {}, rented {}",
+            "{name}: answers {} and {} deferred, killed {}, cancelled {} and ran on for {:.1} s, started after that {}, unanswered {:.1} s, idle {:.1} s, changes {}, triggers sprung {}, transactions without answer {}, invalid jobs rejected {}, rented {}, copies carried out {}",
             out.query_bursts.0,
             out.query_bursts.1,
             out.killed,
@@ -99,7 +99,8 @@
             out.triggered,
             out.unanswered_transactions,
             out.invalid_rejected,
-            out.rented.0
+            out.rented.0,
+            out.copies
         );
         out
     }
--- a/crates/testbed/src/checker.rs
+++ b/crates/testbed/src/checker.rs
@@ -67,6 +67,16 @@
         Checker { max_team_cpus: max_team_cpus as f64, ..Checker::default() }
     }
 
+    /// Returns the zone in which a task runs.
+    pub fn zone_of(&self, task_id: &str) -> Option<&'static str> {
+        self.placements.get(task_id).map(|place| place.zone)
+    }
+
+    /// Sets the number of CPUs that a team may use.
+    pub fn set_max_team_cpus(&mut self, max_team_cpus: f64) {
+        self.max_team_cpus = max_team_cpus;
+    }
+
     /// Checks a `run` order that a worker carries out.
     pub fn check_run_order(&self, task_id: &str) {
         let since_cancelled = self.cancelled.get(split_task_id(task_id).0).map(Instant::elapsed);
--- a/crates/testbed/src/cloud.rs
+++ b/crates/testbed/src/cloud.rs
@@ -50,6 +50,14 @@
     worker: Option<Arc<Mutex<Worker>>>,
 }
 
+impl Machine {
+    /// Returns the address at which controllers reach the machine once it is up.
+    fn addr(&self) -> String {
+        let worker = self.worker.as_ref();
+        worker.map_or_else(String::new, |w| w.lock().expect("lock").reported_addr().into())
+    }
+}
+
 /// The machines of the cloud, and counts of what happened to them.
 pub struct Cloud {
     /// Maximum number of machines at a time, provided and rented.
@@ -86,7 +94,7 @@
     fn list(&self) -> Value {
         let listed = self.machines.values().filter(|m| m.since.elapsed() >= m.list_lag).map(|m| {
             let zone = ["north", "south", "west"][m.zone];
-            json!({"uid": m.name, "addr": format!("worker-{}:1", m.name), "berth": MACHINE_TYPE,
+            json!({"uid": m.name, "addr": m.addr(), "berth": MACHINE_TYPE,
                 "yard": zone, "loaners": m.spot,
                 "status": if m.up { "running" } else { "booting" }, "heldS": m.since.elapsed().as_secs_f64()})
         });
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -57,6 +57,10 @@
     Nothing,
     /// Copies of reports arrive again, up to three leases later.
     LateReportCopies,
+    /// Copies of direct commands, report requests included, are carried out again up to 12 s later.
+    LateCommandCopies,
+    /// Answers to reports are carried out again, until the worker's next report or for 4 s.
+    AnswerCopies,
     /// The process of the controller that leads at that time ends, and restarts after this many milliseconds.
     End(u64),
     /// The process of this controller ends, and restarts after this many milliseconds.
@@ -166,6 +170,8 @@
         Stop(z) => world.add_machines(z),
         CloudAnswersLost => world.cloud.lock().expect("lock").lose_answers = on,
         LateReportCopies => world.delayed_copies.store(on, Relaxed),
+        LateCommandCopies => world.command_copies.store(on, Relaxed),
+        AnswerCopies => world.answer_copies.store(on, Relaxed),
         End(restart_ms) => end(vec![world.leader().unwrap_or(first)], restart_ms),
         EndOf(n, restart_ms) => end(vec![controller(n)], restart_ms),
         AllEnd(restart_ms) => end((0..count).collect(), restart_ms),
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod checker;
 pub mod cloud;
+pub mod controllers;
 pub mod faults;
 pub mod links;
 pub mod network;
+pub mod random_faults;
 pub mod services;
 pub mod triggers;
 pub mod users;
--- a/crates/testbed/src/services.rs
+++ b/crates/testbed/src/services.rs
@@ -110,6 +110,24 @@
         self.entries.keys().filter(|key| key.starts_with(prefix)).count()
     }
 
+    /// Returns the value of a key.
+    pub fn value(&mut self, key: &str) -> Option<Value> {
+        self.expire();
+        self.entries.get(key).map(|(value, ..)| value.clone())
+    }
+
+    /// Sets the value of a key, as no controller does.
+    pub fn overwrite(&mut self, key: &str, value: Value) {
+        self.revision += 1;
+        self.entries.insert(key.into(), (value, self.revision, None));
+    }
+
+    /// Removes a key, as no controller does.
+    pub fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.entries.remove(key);
+    }
+
     /// Begins or ends an outage. When it ends, all leases get their full duration again.
     pub fn set_down(&mut self, down: bool) {
         if self.down && !down {
--- a/crates/testbed/src/users.rs
+++ b/crates/testbed/src/users.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// The kinds of jobs that users submit.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Mix {
     /// Arrays of six tasks.
     Plain,
@@ -29,7 +29,7 @@
 }
 
 /// What users do.
-#[derive(Clone, Copy)]
+#[derive(Debug, Clone, Copy)]
 pub struct UserBehavior {
     /// Interval between submissions.
     pub submit_interval: Duration,
@@ -178,6 +178,11 @@
         *(if answered { &mut self.query_bursts.0 } else { &mut self.query_bursts.1 }) += 1;
     }
 
+    /// Returns whether a query about a job was answered after the faults were over.
+    pub fn was_answered_after_faults(&self, uid: &str) -> bool {
+        self.last_answered.get(uid).copied() > self.faults_over_at
+    }
+
     /// Returns for how long queries about a job have gone unanswered by now, counted from the end of the faults at the
     /// earliest.
     pub fn unanswered_for(&self, uid: &str) -> Duration {
@@ -430,7 +435,7 @@
     for attempt in n.. {
         sleep(Duration::from_secs(5)).await;
         let ready: Vec<usize> = (0..world.count())
-            .filter(|ix| !world.is_down(*ix) && world.node(*ix).is_ready())
+            .filter(|ix| !world.is_down(*ix) && world.controllers.is_ready(*ix))
             .collect();
         if ready.is_empty() {
             continue;
--- a/crates/testbed/src/workers.rs
+++ b/crates/testbed/src/workers.rs
@@ -15,6 +15,7 @@
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -22,6 +23,17 @@
 /// How long a worker waits for the answer to a report.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// When copies of direct orders are carried out.
+const COMMAND_COPY_DELAYS: [Duration; 4] = [
+    Duration::from_millis(30),
+    Duration::from_millis(700),
+    Duration::from_millis(3_000),
+    Duration::from_millis(12_000),
+];
+/// When copies of an answer to a report are carried out.
+const ANSWER_COPY_DELAYS: [Duration; 3] =
+    [Duration::from_millis(30), Duration::from_millis(400), Duration::from_millis(1_500)];
+
 /// CPUs of every machine.
 pub const CPUS: f64 = 8.0;
 /// Memory of every machine.
@@ -124,6 +136,8 @@
     pub gone: bool,
     /// Whether anything has changed since its last report.
     changed: bool,
+    /// The address at which controllers reach it.
+    reported_addr: String,
 }
 
 impl Worker {
@@ -148,14 +162,20 @@
             reports_blocked: false,
             gone: false,
             changed: false,
+            reported_addr: String::new(),
         }
     }
 
-    /// Returns its network address.
+    /// Returns its address in the emulated network.
     pub fn addr(&self) -> String {
         format!("worker-{}:1", self.name)
     }
 
+    /// Returns the address at which controllers reach it.
+    pub fn reported_addr(&self) -> &str {
+        &self.reported_addr
+    }
+
     fn is_hung(&self) -> bool {
         self.hangs_until.is_some_and(|until| Instant::now() < until)
     }
@@ -185,7 +205,7 @@
         });
         Report {
             machine: self.name.clone(),
-            addr: self.addr(),
+            addr: self.reported_addr.clone(),
             machine_type: MACHINE_TYPE.into(),
             zone: zones[self.zone].into(),
             spot: self.spot,
@@ -448,13 +468,48 @@
     200
 }
 
+/// Carries out copies of direct orders later, under the same conditions as the orders themselves.
+fn repeat_commands(world: &Arc<World>, worker: &Arc<Mutex<Worker>>, body: &[u8]) {
+    for delay in COMMAND_COPY_DELAYS {
+        let (world, worker, body) = (world.clone(), worker.clone(), body.to_vec());
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let mut w = worker.lock().expect("lock");
+            if !w.is_hung() && handle_commands(&mut w, &world, &body) == 200 {
+                world.copies_carried_out.fetch_add(1, Relaxed);
+            }
+        });
+    }
+}
+
+/// Carries out copies of an answer to the report `sequence`, as long as the worker waits for no other answer.
+fn repeat_answer(
+    world: &Arc<World>,
+    worker: &Arc<Mutex<Worker>>,
+    orders: &Arc<Orders>,
+    (session, sequence): (u64, u64),
+) {
+    for delay in ANSWER_COPY_DELAYS {
+        let (world, worker, orders) = (world.clone(), worker.clone(), orders.clone());
+        tokio::spawn(async move {
+            sleep(delay).await;
+            let mut w = worker.lock().expect("lock");
+            let is_latest = (w.session, w.sequence) == (session, sequence) && !w.gone;
+            if is_latest && !w.is_hung() && orders.term >= w.term {
+                w.execute(&orders.orders, &world);
+                world.copies_carried_out.fetch_add(1, Relaxed);
+            }
+        });
+    }
+}
+
 /// Accepts direct orders and inspections. Orders that reach a machine while it hangs are carried out when it continues.
 pub fn open(world: &Arc<World>, worker: &Arc<Mutex<Worker>>) {
     let (addr, zone) = {
         let w = worker.lock().expect("lock");
         (w.addr(), w.zone)
     };
-    let (world2, worker) = (world.clone(), worker.clone());
+    let (world2, worker, exposed) = (world.clone(), worker.clone(), worker.clone());
     let accept = move |_, io| {
         let (world, worker) = (world2.clone(), worker.clone());
         serve(io, move |_, path, body| {
@@ -471,6 +526,9 @@
             }
             let status =
                 if path == "/commands" { handle_commands(&mut w, &world, body) } else { 200 };
+            if path == "/commands" && world.command_copies.load(Relaxed) {
+                repeat_commands(&world, &worker, body);
+            }
             if status == 400 {
                 return Some((400, json!({})));
             }
@@ -479,6 +537,8 @@
         });
     };
     world.net.open(&addr, Host::Workers(zone), Arc::new(accept));
+    let reported_addr = world.controllers.expose(&world.net, &addr);
+    exposed.lock().expect("lock").reported_addr = reported_addr;
 }
 
 /// Waits until anything has changed on the worker: half a second at least, `max_wait` at most.
@@ -563,6 +623,10 @@
                     w.term = orders.term;
                     w.last_answered_sent_at = sent;
                     w.execute(&orders.orders, &world);
+                    if world.answer_copies.load(Relaxed) {
+                        let report = (w.session, w.sequence);
+                        repeat_answer(&world, &worker, &Arc::new(orders), report);
+                    }
                 }
             }
             (Some(421), Some(Orders { leader: Some(name), .. })) => {
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -3,6 +3,7 @@
 
 use crate::checker::{Checker, MAX_CANCEL_LINGER};
 use crate::cloud::Cloud;
+use crate::controllers::{ControllerProcesses, Controllers};
 use crate::network::{Host, Network};
 use crate::services::{CLOUD, STATE, Store};
 use crate::triggers::FaultTrigger;
@@ -14,12 +15,13 @@
 use copperhaven::node::Node;
 use copperhaven::peers;
 use copperhaven::reply::Reply;
+use copperhaven_core::records::LEADER_KEY;
 use copperhaven_core::settings::Settings;
 use copperhaven_wire::jobs::JobStatus;
 use poem::http::Method;
 use poem::{Endpoint, Request};
 use std::collections::BTreeSet;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -36,8 +38,8 @@
     pub zones: Vec<&'static str>,
     /// The emulated state service.
     pub store: Arc<Mutex<Store>>,
-    /// The controllers, by index; a restart replaces the entry.
-    nodes: Mutex<Vec<Arc<Node>>>,
+    /// The controllers, by index.
+    pub controllers: Controllers,
     /// Controllers whose process has ended and has not been restarted yet.
     down: Mutex<BTreeSet<usize>>,
     /// Checks the rules by what workers and users observe.
@@ -52,6 +54,12 @@
     pub cloud: Mutex<Cloud>,
     /// Whether copies of workers' reports arrive again, up to three leases later.
     pub delayed_copies: AtomicBool,
+    /// Whether copies of direct commands, report requests included, are carried out again up to 12 s later.
+    pub command_copies: AtomicBool,
+    /// Whether answers to reports are carried out again, until the worker's next report or for 4 s.
+    pub answer_copies: AtomicBool,
+    /// How many copies of either kind were carried out.
+    pub copies_carried_out: AtomicUsize,
     /// Whether copies of reports are kept for the next leader.
     pub keep_reports: AtomicBool,
     /// The copies that are kept: the sender and the encoded report.
@@ -64,6 +72,9 @@
     pub behavior: UserBehavior,
 }
 
+/// The names of the zones.
+const ZONES: [&str; 3] = ["north", "south", "west"];
+
 /// Measurements of one run.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -99,6 +110,8 @@
     pub idle: Duration,
     /// Machines that were rented and finished booting, and machines that were returned.
     pub rented: (usize, usize),
+    /// Copies of direct commands and of answers to reports that were carried out.
+    pub copies: usize,
 }
 
 /// Runs a controller that is the only process with its listen address.
@@ -108,33 +121,65 @@
     tokio::spawn(leadership::run(node));
 }
 
-/// Returns the settings of one controller; a team's guarantee is half of its limit of `max_cpus`.
-pub fn settings(
-    controllers: usize,
+/// The addresses in the settings of one controller.
+pub struct Addresses {
+    /// Where it takes requests of users and workers.
+    pub api: String,
+    /// Where it listens for the other controllers.
+    pub cluster: String,
+    /// Where it reaches each controller, by index.
+    pub peers: Vec<String>,
+    /// Where it reaches the cloud.
+    pub cloud: String,
+    /// Where it reaches the state service.
+    pub state: String,
+}
+
+/// Returns the text of the settings of one controller; a team's guarantee is half of its limit of `max_cpus`.
+pub fn settings_text(
     self_index: usize,
+    addresses: &Addresses,
     zones: &[&str],
     max_cpus: usize,
-) -> Settings {
+) -> String {
     use std::fmt::Write;
     let (cpus, max_cpus) = (max_cpus as f64 / 2.0, max_cpus as f64);
     let team = |name| format!("{{ name = \"{name}\", cpus = {cpus}, cpus_max = {max_cpus} }}");
     let teams = [team("red"), team("blue")].join(", ");
+    let Addresses { api, cluster, peers, cloud, state } = addresses;
     let mut text = format!(
-        "member = \"c-{self_index}\"\nzone = \"{}\"\nfront = \"\"\ncluster_listen = \"\"\n",
+        "member = \"c-{self_index}\"\nzone = \"{}\"\nfront = \"{api}\"\ncluster_listen = \"{cluster}\"\n",
         zones[self_index % zones.len()]
     );
-    for other in (0..controllers).filter(|other| *other != self_index) {
+    for (other, endpoint) in peers.iter().enumerate().filter(|(other, _)| *other != self_index) {
         let zone = zones[other % zones.len()];
         let _ = write!(
             text,
-            "[[members]]\nmember = \"c-{other}\"\nzone = \"{zone}\"\nendpoint = \"peer:{other}\"\n"
+            "[[members]]\nmember = \"c-{other}\"\nzone = \"{zone}\"\nendpoint = \"{endpoint}\"\n"
         );
     }
     let _ = write!(
         text,
-        "[endpoints]\ncloud = \"{CLOUD}\"\nstate = \"{STATE}\"\n[deployment]\nzones = {zones:?}\nteams = [{teams}]\n[deployment.workers]\nreport_s = 4.0\nlease_s = 16.0\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = 35.0\n[deployment.state]\nrps = 900.0\nwrite_rps = 250.0\nvalue_kb = 8.0\ntxn_ops = 32\n[deployment.cloud]\nrps = 5.0\nlist_lag_s = 5.0\n[deployment.limits]\nmax_connections = 1000\n"
+        "[endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[deployment]\nzones = {zones:?}\nteams = [{teams}]\n[deployment.workers]\nreport_s = 4.0\nlease_s = 16.0\ngang_wait_s = 30.0\ngang_peer_s = 6.0\ncancel_s = 35.0\n[deployment.state]\nrps = 900.0\nwrite_rps = 250.0\nvalue_kb = 8.0\ntxn_ops = 32\n[deployment.cloud]\nrps = 5.0\nlist_lag_s = 5.0\n[deployment.limits]\nmax_connections = 1000\n"
     );
-    toml::from_str(&text).expect("settings")
+    text
+}
+
+/// Returns the settings of one controller in the emulated network.
+pub fn settings(
+    controllers: usize,
+    self_index: usize,
+    zones: &[&str],
+    max_cpus: usize,
+) -> Settings {
+    let addresses = Addresses {
+        api: String::new(),
+        cluster: String::new(),
+        peers: (0..controllers).map(|ix| format!("peer:{ix}")).collect(),
+        cloud: CLOUD.into(),
+        state: STATE.into(),
+    };
+    toml::from_str(&settings_text(self_index, &addresses, zones, max_cpus)).expect("settings")
 }
 
 impl World {
@@ -145,7 +190,7 @@
 
     /// Returns a controller's current process.
     pub fn node(&self, ix: usize) -> Arc<Node> {
-        self.nodes.lock().expect("lock")[ix].clone()
+        self.controllers.node(ix)
     }
 
     /// Starts a world with the default behavior of users; see [`World::with`].
@@ -160,26 +205,55 @@
         seed: u64,
         behavior: UserBehavior,
     ) -> Arc<World> {
-        let zones = vec!["north", "south", "west"];
         let net = Arc::new(Network::default());
-        let provided: Vec<Arc<Mutex<Worker>>> =
-            (0..machines).map(|n| Arc::new(Mutex::new(Worker::new(n, n % 3)))).collect();
         let nodes: Vec<Arc<Node>> = (0..controllers)
             .map(|ix| {
-                let settings = settings(controllers, ix, &zones, behavior.max_team_cpus);
+                let settings = settings(controllers, ix, &ZONES, behavior.max_team_cpus);
                 Arc::new(Node::with_net(net.process_net(Host::Controller(ix)), settings))
             })
             .collect();
-        let world = Arc::new_cyclic(|world| {
+        let all = Controllers::Nodes(Mutex::new(nodes.clone()));
+        let world = World::new(net, controllers, all, behavior, machines);
+        for (ix, node) in nodes.into_iter().enumerate() {
+            world.open_peer(ix);
+            run_node(ix, node);
+        }
+        world.populate(machines, seed);
+        world
+    }
+
+    /// Starts a world whose controllers are processes of their own, which run already.
+    pub fn with_processes(
+        net: Arc<Network>,
+        processes: Arc<dyn ControllerProcesses>,
+        (controllers, machines): (usize, usize),
+        seed: u64,
+        behavior: UserBehavior,
+    ) -> Arc<World> {
+        let all = Controllers::Processes(processes);
+        let world = World::new(net, controllers, all, behavior, machines);
+        world.populate(machines, seed);
+        world
+    }
+
+    /// Creates a world without machines and users.
+    fn new(
+        net: Arc<Network>,
+        count: usize,
+        controllers: Controllers,
+        behavior: UserBehavior,
+        machines: usize,
+    ) -> Arc<World> {
+        Arc::new_cyclic(|world| {
             let store = Arc::new(Mutex::new(Store::default()));
             crate::services::open(&net, &store, world.clone());
-            crate::cloud::open(&net, &zones, world.clone());
+            crate::cloud::open(&net, &ZONES, world.clone());
             World {
-                settings: settings(controllers, 0, &zones, behavior.max_team_cpus),
-                names: (0..controllers).map(|ix| format!("c-{ix}")).collect(),
-                zones,
+                settings: settings(count, 0, &ZONES, behavior.max_team_cpus),
+                names: (0..count).map(|ix| format!("c-{ix}")).collect(),
+                zones: ZONES.to_vec(),
                 store,
-                nodes: Mutex::new(nodes.clone()),
+                controllers,
                 down: Mutex::default(),
                 checker: Mutex::new(Checker::new(behavior.max_team_cpus)),
                 behavior,
@@ -188,37 +262,49 @@
                 workers: Mutex::default(),
                 cloud: Mutex::new(Cloud::new(machines + behavior.rentable)),
                 delayed_copies: Default::default(),
+                command_copies: Default::default(),
+                answer_copies: Default::default(),
+                copies_carried_out: Default::default(),
                 keep_reports: Default::default(),
                 kept_reports: Mutex::default(),
                 fault_triggers: Mutex::default(),
                 triggered: Mutex::default(),
                 net,
             }
-        });
-        for (ix, node) in nodes.into_iter().enumerate() {
-            world.open_peer(ix);
-            run_node(ix, node);
-        }
-        for (n, worker) in provided.iter().enumerate() {
-            world.provide(worker.clone(), seed * 1000 + n as u64);
+        })
+    }
+
+    /// Provides the machines, and lets users submit jobs.
+    fn populate(self: &Arc<Self>, machines: usize, seed: u64) {
+        for n in 0..machines {
+            let worker = Arc::new(Mutex::new(Worker::new(n, n % ZONES.len())));
+            self.provide(worker, seed * 1000 + n as u64);
         }
-        tokio::spawn(crate::users::submit_jobs(world.clone()));
-        world
+        tokio::spawn(crate::users::submit_jobs(self.clone()));
     }
 
     /// Ends this controller's process without notice to anyone.
     pub fn end_process(&self, ix: usize) {
         self.down.lock().expect("lock").insert(ix);
-        self.net.end(Host::Controller(ix));
+        self.controllers.end(&self.net, ix);
     }
 
     /// Starts a controller again as a new process with the same settings.
     pub fn restart(&self, ix: usize) {
-        let settings = settings(self.count(), ix, &self.zones, self.behavior.max_team_cpus);
-        let node = Arc::new(Node::with_net(self.net.process_net(Host::Controller(ix)), settings));
-        self.nodes.lock().expect("lock")[ix] = node.clone();
-        self.down.lock().expect("lock").remove(&ix);
-        run_node(ix, node);
+        match &self.controllers {
+            Controllers::Nodes(nodes) => {
+                let settings = settings(self.count(), ix, &self.zones, self.behavior.max_team_cpus);
+                let net = self.net.process_net(Host::Controller(ix));
+                let node = Arc::new(Node::with_net(net, settings));
+                nodes.lock().expect("lock")[ix] = node.clone();
+                self.down.lock().expect("lock").remove(&ix);
+                run_node(ix, node);
+            }
+            Controllers::Processes(processes) => {
+                processes.restart(&self.net, ix);
+                self.down.lock().expect("lock").remove(&ix);
+            }
+        }
     }
 
     /// Ends a controller's process and restarts it after `restart_after_ms`.
@@ -242,14 +328,22 @@
         if !self.net.deliver(from, Host::Controller(to)).await || self.is_down(to) {
             return None;
         }
-        let node = self.node(to);
-        let reply = self.handle_directly(to, op, body).await;
-        let still_runs = !self.is_down(to) && Arc::ptr_eq(&node, &self.node(to));
+        let incarnation = self.controllers.incarnation(to);
+        let reply = self.handle_directly(to, op, body).await?;
+        let still_runs = !self.is_down(to) && incarnation == self.controllers.incarnation(to);
         (still_runs && self.net.deliver(Host::Controller(to), from).await).then_some(reply)
     }
 
-    /// Hands a request to a controller's API routes, without the network.
-    pub async fn handle_directly(&self, to: usize, op: Op, body: &[u8]) -> Reply {
+    /// Hands a request to a controller's API, without the emulated network. A process may give no answer.
+    pub async fn handle_directly(&self, to: usize, op: Op, body: &[u8]) -> Option<Reply> {
+        match &self.controllers {
+            Controllers::Nodes(_) => Some(self.handle_by_routes(to, op, body).await),
+            Controllers::Processes(processes) => processes.handle(to, op, body).await,
+        }
+    }
+
+    /// Hands a request to the API routes of a controller that is a node in this process.
+    async fn handle_by_routes(&self, to: usize, op: Op, body: &[u8]) -> Reply {
         let id = String::from_utf8_lossy(body);
         let (method, path, body) = match op {
             Op::Submit => (Method::POST, "/api/jobs".to_string(), body),
@@ -282,7 +376,7 @@
     pub fn pick_ready_controller(&self, n: usize) -> usize {
         let all = 0..self.count();
         let ready: Vec<usize> =
-            all.filter(|ix| !self.is_down(*ix) && self.node(*ix).is_ready()).collect();
+            all.filter(|ix| !self.is_down(*ix) && self.controllers.is_ready(*ix)).collect();
         if ready.is_empty() { n % self.count() } else { ready[n % ready.len()] }
     }
 
@@ -293,7 +387,18 @@
 
     /// Returns all controllers that consider themselves leader.
     fn leaders(&self) -> Vec<usize> {
-        (0..self.count()).filter(|ix| !self.is_down(*ix) && self.node(*ix).is_leader()).collect()
+        match &self.controllers {
+            Controllers::Nodes(_) => (0..self.count())
+                .filter(|ix| !self.is_down(*ix) && self.node(*ix).is_leader())
+                .collect(),
+            Controllers::Processes(_) => self.recorded_leader().into_iter().collect(),
+        }
+    }
+
+    /// Returns the controller that holds the leader key at the state service.
+    fn recorded_leader(&self) -> Option<usize> {
+        let record = self.store.lock().expect("lock").value(LEADER_KEY)?;
+        self.names.iter().position(|name| record["member"] == name.as_str())
     }
 
     /// Runs for `time` and checks the rules every 50 ms. Adds the time without a leader and the changes of leader to
@@ -335,7 +440,8 @@
         let free: Vec<_> = self.workers.lock().expect("lock").iter().map(&mut free).collect();
         let waiting = self.checker.lock().expect("lock").find_idle(users.open(), &free, &allocated);
         let Some(uid) = waiting else { return };
-        let job = self.leader().map(|ix| self.node(ix)).and_then(|node| {
+        let node = self.leader().filter(|_| matches!(self.controllers, Controllers::Nodes(_)));
+        let job = node.map(|ix| self.node(ix)).and_then(|node| {
             let term = node.leadership_status().0;
             node.with_leader_state(term, |leader, _| {
                 leader.job(&uid).map(|(_, job)| format!("{job:?}"))
@@ -378,6 +484,7 @@
         (out.started_late, out.idle) = (checker.started_late, checker.idle_longest);
         let cloud = self.cloud.lock().expect("lock");
         out.rented = (cloud.booted, cloud.returned);
+        out.copies = self.copies_carried_out.load(Relaxed);
         out.unanswered_transactions = self.store.lock().expect("lock").late_transactions;
         let longest_wait = users.waiting.values().map(Instant::elapsed).max().unwrap_or_default();
         out.longest_submission = out.longest_submission.max(longest_wait);
@@ -401,13 +508,18 @@
     /// Runs on with all links intact, then checks that every accepted job is still known, that a job reported as done
     /// has all its tasks done by the workers' own count, and that only jobs cancelled by their users are aborted.
     pub async fn check_all_finish(&self) {
+        self.check_all_finish_of(40).await;
+    }
+
+    /// As [`World::check_all_finish`], for a run in which more than `min_accepted` jobs are accepted.
+    pub async fn check_all_finish_of(&self, min_accepted: usize) {
         let settle_time = Duration::from_secs(35) + self.behavior.run_time;
         self.watch(settle_time, &mut Outcome::default()).await;
         let accepted: Vec<String> =
             self.users.lock().expect("lock").accepted.keys().cloned().collect();
         let mut unfinished = 0;
         for uid in &accepted {
-            let reply = self.node(0).handle_request(Op::Show, uid.as_bytes()).await;
+            let reply = self.handle_directly(0, Op::Show, uid.as_bytes()).await.expect("an answer");
             assert_ne!(reply.status, 404, "forgotten: {uid}");
             let shown = rmp_serde::from_slice::<JobStatus>(&reply.body).expect("a job");
             let (done, all) = self.checker.lock().expect("lock").done_and_total(uid);
@@ -421,9 +533,9 @@
                 _ => unfinished += 1,
             }
         }
-        assert!(accepted.len() > 40, "{} accepted", accepted.len());
+        assert!(accepted.len() > min_accepted, "{} accepted", accepted.len());
         assert!(unfinished * 3 < accepted.len(), "{unfinished} of {} not done", accepted.len());
-        let none = self.node(0).handle_request(Op::Show, b"wk-999999999").await;
+        let none = self.handle_directly(0, Op::Show, b"wk-999999999").await.expect("an answer");
         assert_eq!(none.status, 404, "invented");
     }
 }
