--- a/crates/controller/tests/world/machines.rs
+++ b/crates/controller/tests/world/machines.rs
@@ -387,6 +387,51 @@
     check_rows(machine_failure_rows());
 }
 
+/// A late copy of a command or answer that was carried out before: after `forget`, for tasks that were moved or
+/// cancelled, for a gang's replacement with the same attempt, within one session and term and across restarts.
+fn copy_rows() -> Vec<Row> {
+    vec![
+        row(
+            "copies of commands and answers, ends of the leader within a second",
+            vec![
+                (0, 60_000, LateCommandCopies),
+                (0, 60_000, AnswerCopies),
+                (5_000, 5_001, CancelNow(12, 0)),
+                (5_300, 5_301, End(50)),
+                (20_000, 20_001, CancelNow(8, 3_000)),
+                (20_200, 20_201, AllEnd(300)),
+                (40_000, 40_001, End(300)),
+            ],
+        ),
+        row(
+            "copies of commands and answers, machines hang and are cut off",
+            vec![
+                (0, 70_000, LateCommandCopies),
+                (0, 70_000, AnswerCopies),
+                (2_000, 2_001, Hang(9_000)),
+                (15_000, 35_000, CutOff(1)),
+                (16_000, 16_001, CancelNow(10, 5_000)),
+                (45_000, 45_001, Hang(20_000)),
+            ],
+        ),
+        at_limit(row(
+            "copies of commands and answers, teams at their limit, tasks are preempted",
+            vec![
+                (0, 70_000, LateCommandCopies),
+                (0, 70_000, AnswerCopies),
+                (10_000, 30_000, SilentZone(0)),
+                (12_000, 12_001, CancelNow(10, 0)),
+                (40_000, 40_001, EndOf(1, 300)),
+            ],
+        )),
+    ]
+}
+
+#[test]
+fn late_copies_of_commands_and_answers_start_nothing_again() {
+    check_rows(copy_rows());
+}
+
 #[test]
 fn old_reports_during_a_takeover() {
     check_rows(old_report_rows());
