A request whose sender has given up no longer uses up the link to a controller

A user or worker that gives up closes its connection, which drops the request; its entry in PeerLink::pending_replies stayed until a reply came. The leader drops requests beyond 512 unanswered, so their entries stayed for as long as the connection did. After 512 of them nothing is forwarded on the link any more, while pings go on and the controller counts as ready.

Cause: a place that is given back by the code after an await, not by the owner's end. Change: the entry belongs to a guard that removes it when it is dropped.

Test: requests_whose_senders_gave_up_do_not_use_up_a_link, which failed before (2 requests in flight for 1).

--- a/crates/controller/src/cluster/mod.rs
+++ b/crates/controller/src/cluster/mod.rs
@@ -65,20 +65,37 @@
     async fn request(&self, op: Op, hops: u8, body: &[u8], limit: Duration) -> Option<Reply> {
         let send_queue = self.send_queue.lock().expect("lock").clone()?;
         let id = self.next_request_id.fetch_add(1, Ordering::Relaxed);
-        let (tx, rx) = oneshot::channel();
-        {
-            let mut pending = self.pending_replies.lock().expect("lock");
-            if pending.len() >= MAX_IN_FLIGHT {
-                return None;
-            }
-            pending.insert(id, tx);
-        }
+        let (_pending, reply) = PendingReply::register(self, id)?;
         let mut header = Header::new(op as u8, id, body.len());
         header.hops = hops;
         let sent = send_queue.try_send(header.encode_frame(body)).is_ok();
-        let reply = if sent { timeout(limit, rx).await.ok().and_then(Result::ok) } else { None };
-        self.pending_replies.lock().expect("lock").remove(&id);
-        reply
+        if sent { timeout(limit, reply).await.ok().and_then(Result::ok) } else { None }
+    }
+}
+
+/// A request whose reply is awaited. It stops counting as in flight when this is dropped, also when whoever waited has
+/// given up.
+struct PendingReply<'a> {
+    link: &'a PeerLink,
+    id: u64,
+}
+
+impl PendingReply<'_> {
+    /// Registers a request; `None` when too many are in flight.
+    fn register(link: &PeerLink, id: u64) -> Option<(PendingReply<'_>, oneshot::Receiver<Reply>)> {
+        let (sender, reply) = oneshot::channel();
+        let mut pending = link.pending_replies.lock().expect("lock");
+        if pending.len() >= MAX_IN_FLIGHT {
+            return None;
+        }
+        pending.insert(id, sender);
+        Some((PendingReply { link, id }, reply))
+    }
+}
+
+impl Drop for PendingReply<'_> {
+    fn drop(&mut self) {
+        self.link.pending_replies.lock().expect("lock").remove(&self.id);
     }
 }
 
@@ -211,3 +228,46 @@
         link.request(op, hops, body, limit).await
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Returns a cluster of two members, and what is sent on the link to the other one.
+    fn connected() -> (Cluster, mpsc::Receiver<Vec<u8>>) {
+        let mut settings = copperhaven_core::for_tests::sample_settings();
+        settings.members.truncate(1);
+        let cluster = Cluster::new(&settings);
+        let (sender, sent) = mpsc::channel(4 * MAX_IN_FLIGHT);
+        *cluster.links[0].send_queue.lock().expect("lock") = Some(sender);
+        (cluster, sent)
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn requests_whose_senders_gave_up_do_not_use_up_a_link() {
+        // Users and workers close their connections when they give up, which drops the request that is forwarded for
+        // them. The peer never answers these.
+        for given_up in [1, MAX_IN_FLIGHT, 3 * MAX_IN_FLIGHT] {
+            let (cluster, mut sent) = connected();
+            let link = &cluster.links[0];
+            for _ in 0..given_up {
+                let request = link.request(Op::Show, 0, b"wk-1", Duration::from_millis(800));
+                let gave_up = timeout(Duration::from_millis(1), request).await.is_err();
+                assert!(gave_up, "{given_up}: a request was not sent");
+            }
+            while sent.try_recv().is_ok() {}
+            let request = link.request(Op::Show, 0, b"wk-2", Duration::from_millis(800));
+            let answer = async {
+                let frame = sent.recv().await.expect("a frame");
+                let pending = std::mem::take(&mut *link.pending_replies.lock().expect("lock"));
+                assert_eq!(pending.len(), 1, "{given_up}: only the last request is in flight");
+                for sender in pending.into_values() {
+                    let _ = sender.send(Reply::error(200, "answered"));
+                }
+                frame
+            };
+            let (reply, frame) = tokio::join!(request, answer);
+            assert!(reply.is_some() && !frame.is_empty(), "{given_up}: no reply");
+        }
+    }
+}
