--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -28,23 +28,27 @@
     NotDone,
     /// The final records of jobs change while no controller runs.
     WentBack,
-    /// Users reach no controller once the faults are over.
+    /// Users reach no controller from the end of the faults on.
     Unanswered,
-    /// Workers accept no report once the faults are over, and keep their capacity.
+    /// Workers reach no controller from the end of the faults on, so that jobs wait although machines are free.
     Waiting,
     /// A controller ends by itself.
     Ended,
 }
 
-/// Returns a task that runs, with its machine.
-fn running_task(world: &World) -> (String, String) {
+impl Injection {
+    /// Returns whether the rule is broken at the end of the faults. The others are broken before the first one, while
+    /// tasks run.
+    pub(crate) fn needs_end_of_faults(self) -> bool {
+        matches!(self, Injection::Unanswered | Injection::Waiting)
+    }
+}
+
+/// Returns a task that runs.
+fn running_task(world: &World) -> String {
     let workers = world.workers.lock().expect("lock");
-    let task = workers.iter().find_map(|w| {
-        let w = w.lock().expect("lock");
-        let task = w.runs().next().cloned();
-        task.map(|task| (task, w.name.clone()))
-    });
-    task.expect("a running task")
+    let task = workers.iter().find_map(|w| w.lock().expect("lock").runs().next().cloned());
+    task.expect("no task runs, so the rule can't be broken")
 }
 
 fn place(zone: &'static str) -> Place {
@@ -67,11 +71,11 @@
     (0..world.count()).for_each(|ix| world.restart(ix));
 }
 
-/// Breaks the rule. Called once the faults are over.
+/// Breaks the rule.
 pub(crate) fn inject(world: &Arc<World>, processes: &Processes, injection: Injection) {
     match injection {
         Injection::RanTwice => {
-            let (task, _) = running_task(world);
+            let task = running_task(world);
             let zone = world.checker.lock().expect("lock").zone_of(&task).expect("it runs");
             world.checker.lock().expect("lock").task_started(&task, place(zone));
         }
@@ -85,7 +89,7 @@
             checker.task_started(&task, place(zone.expect("another zone")));
         }
         Injection::RanCancelled => {
-            let (task, _) = running_task(world);
+            let task = running_task(world);
             let long_ago = Instant::now() - 2 * copperhaven_testbed::checker::MAX_CANCEL_LINGER;
             let job = split_task_id(&task).0.to_string();
             world.checker.lock().expect("lock").cancelled.insert(job, long_ago);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,7 +2,7 @@
 //! afterwards.
 
 use crate::Parameters;
-use crate::injection::inject;
+use crate::injection::{Injection, inject};
 use crate::processes::{Processes, SharedProcesses};
 use crate::schedule::{Plan, SoakFault};
 use crate::violations;
@@ -85,13 +85,14 @@
     let first = first_leader(&world).await?;
     world.watch(WARM_UP, &mut Outcome::default()).await;
     world.reset_measurements();
+    let (late, early): (Vec<Injection>, Vec<Injection>) =
+        parameters.inject.into_iter().partition(|injection| injection.needs_end_of_faults());
+    early.into_iter().for_each(|injection| inject(&world, &processes, injection));
     world.play(&plan.faults, &mut out, |fault, on| set(&world, &processes, first, fault, on)).await;
+    late.into_iter().for_each(|injection| inject(&world, &processes, injection));
     world.users.lock().expect("lock").submissions_stopped = true;
     wait_until_all_are_up(&world, &mut out).await;
     world.mark_faults_over();
-    if let Some(injection) = parameters.inject {
-        inject(&world, &processes, injection);
-    }
     watch_until_finished(&world, &processes, &mut out).await;
     world.collect(&mut out);
     if out.unanswered > MAX_UNANSWERED {
